Keep the shares of connections of an instance that cannot look at the members

A heartbeat's answer that was on its way when an instance became steward was taken for a renewal of the steward's row, which then failed its next condition. Change: ages end with the last look that was answered; the instance itself always counts as alive; only a heartbeat that carried the steward's row renews it. Two tests fail on the code before.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -110,9 +110,9 @@
     [[nodiscard]] bool is_alive(const member& each) const;
     [[nodiscard]] member_record own_record() const;
     void heartbeat();
-    void on_heartbeat(steady_time sent_at, const store_answer& reply);
+    void on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply);
     void poll_members();
-    void on_members(const store_answer& reply);
+    void on_members(steady_time asked_at, const store_answer& reply);
     void take_member(const store_row& row);
     [[nodiscard]] bool is_successor() const;
     [[nodiscard]] bool steward_is_gone();
@@ -136,6 +136,7 @@
     table_follower m_records;
     std::map<group_name, std::uint64_t> m_agreed; ///< Epoch of the record that nothing here contradicts.
     std::map<std::string, member> m_members;
+    steady_time m_members_seen_at{}; ///< When the last look that was answered was sent.
     std::map<group_name, std::unique_ptr<group_work>> m_work;
     std::optional<steady_time> m_current_as_of;  ///< The records were certainly the newest then.
     std::optional<steady_time> m_heartbeat_done; ///< When the last one that arrived was sent.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -146,11 +146,11 @@
             m_reported = record;
         }
         m_steward_write_under_way = m_steward_write_under_way && !renews;
-        on_heartbeat(now, reply);
+        on_heartbeat(now, renews, reply);
     });
 }
 
-void fleet_coordinator::on_heartbeat(steady_time sent_at, const store_answer& reply) {
+void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply) {
     m_heartbeat_under_way = false;
     if (reply.m_status == store_status::done) {
         if (!m_heartbeat_done) {
@@ -159,7 +159,7 @@
         }
         m_heartbeat_done = sent_at;
         renew_lease();
-        if (m_steward) {
+        if (m_steward && renewed) {
             m_steward_version = reply.m_version;
             m_steward_changed_at = m_ports.m_clock->m_now();
         }
@@ -167,7 +167,7 @@
     }
     m_metrics.count("heartbeats_failed");
     m_next_heartbeat = m_ports.m_clock->m_now() + heartbeat_retry;
-    if (m_steward) {
+    if (m_steward && renewed) {
         // Whether the row changed is unknown: the next look decides.
         step_down();
         m_next_poll = m_ports.m_clock->m_now();
@@ -188,16 +188,18 @@
     m_poll_under_way = true;
     const bool watches = m_steward || is_successor();
     m_next_poll = m_ports.m_clock->m_now() + (watches ? m_options.m_small_fleet.m_poll : pace().m_poll);
-    m_ports.m_store->m_read_table(members_table, [this](const store_answer& reply) {
-        m_poll_under_way = false;
-        on_members(reply);
-    });
+    m_ports.m_store->m_read_table(members_table,
+                                  [this, asked_at = m_ports.m_clock->m_now()](const store_answer& reply) {
+                                      m_poll_under_way = false;
+                                      on_members(asked_at, reply);
+                                  });
 }
 
-void fleet_coordinator::on_members(const store_answer& reply) {
+void fleet_coordinator::on_members(steady_time asked_at, const store_answer& reply) {
     if (reply.m_status != store_status::done) {
         return;
     }
+    m_members_seen_at = asked_at;
     bool steward_row = false;
     std::map<std::string, member> kept;
     for (const store_row& row : reply.m_rows) {
@@ -304,9 +306,12 @@
 }
 
 bool fleet_coordinator::is_alive(const member& each) const {
-    // A row is seen to change only when it is looked at.
+    if (each.m_record.m_name == m_options.m_name) {
+        return !m_resigned;
+    }
+    // Ages end with the last look: an instance that cannot look knows of no new silence.
     const milliseconds lifetime = pace().m_heartbeat * heartbeats_missed + heartbeat_delay + pace().m_poll;
-    return !each.m_refused && m_ports.m_clock->m_now() < each.m_changed_at + lifetime;
+    return !each.m_refused && m_members_seen_at < each.m_changed_at + lifetime;
 }
 
 int fleet_coordinator::live_instances() const {
@@ -400,7 +405,7 @@
         }
         const auto epoch = each.m_record.m_epochs.find(name);
         const bool agreed = epoch != each.m_record.m_epochs.end() && epoch->second >= record.m_epoch;
-        const bool silent = now >= each.m_changed_at + proof_of_silence;
+        const bool silent = m_members_seen_at >= each.m_changed_at + proof_of_silence;
         if (record.m_stage == group_stage::switching && !agreed) {
             probe(each);
         }
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -173,6 +173,45 @@
     touch_all(fleet, 3);
 }
 
+BOOST_AUTO_TEST_CASE(instances_without_the_store_keep_their_shares_of_connections) {
+    test::gateway_fleet fleet(6);
+    touch_all(fleet, 6);
+    const auto limit = [&](int number) {
+        return fleet.instance(number)
+            .state_dump()["groups"]["orders"]["pools"]["orders-1"]["limit"]
+            .get<int>();
+    };
+    const int before = limit(2);
+    fleet.m_store.m_turned_away = {"i2", "i3"};
+    for (int second = 0; second < 11; ++second) {
+        fleet.run_for(1000ms);
+        for (const int number : {2, 3}) {
+            BOOST_TEST(limit(number) == before);
+            BOOST_TEST(!fleet.instance(number).relay_target("pay").has_value());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_sent_before_the_stewardship_is_no_renewal_of_it) {
+    test::gateway_fleet fleet(2);
+    touch_all(fleet, 2);
+    const int steward = steward_of(fleet, 2);
+    const int successor = steward == 1 ? 2 : 1;
+    const std::string name = "i" + std::to_string(successor);
+    const auto is_steward = [&] { return fleet.instance(successor).state_dump()["steward"].get<bool>(); };
+    // Its heartbeat is answered after it has taken over, with an older version than the steward's row.
+    fleet.m_store.m_slow_unconditional.insert(name);
+    fleet.kill(steward);
+    for (int tick = 0; tick < 800 && !is_steward(); ++tick) {
+        fleet.run_for(10ms);
+    }
+    BOOST_REQUIRE(is_steward());
+    for (int tick = 0; tick < 600; ++tick) {
+        fleet.run_for(10ms);
+        BOOST_TEST(is_steward());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(without_the_store_no_primary_is_used_for_ever) {
     test::gateway_fleet fleet(2);
     touch_all(fleet, 2);
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -11,6 +11,7 @@
 
 constexpr milliseconds answer_time{5};
 constexpr milliseconds client_patience{1500};
+constexpr milliseconds late_answer_time{2500};
 
 }
 
@@ -98,7 +99,10 @@
     if (m_loses_change_answers) {
         m_clock.after(client_patience, [done] { done({.m_status = store_status::unknown}); });
     } else {
-        answer(done, {.m_status = store_status::done, .m_version = m_version});
+        const bool late = what.m_expected.empty() && m_slow_unconditional.contains(name);
+        m_clock.after(late ? late_answer_time : answer_time, [done, version = m_version] {
+            done({.m_status = store_status::done, .m_version = version});
+        });
     }
     wake();
 }
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -31,6 +31,8 @@
     bool m_away{false};                  ///< No call is answered.
     std::set<std::string> m_turned_away; ///< These clients are refused.
     bool m_loses_change_answers{false};
+    std::set<std::string>
+        m_slow_unconditional; ///< These clients' changes without a condition are answered late.
     int m_calls{0};
 
 private:
