Open connections only for work that may run at once

Cause: a pool opened one connection for each waiting statement up to its limit, though its slots let only a few run. Each connect takes a slot of the upstream for 12 ms, and after a power loss each stays counted there for 3 s. Change: admission says how many waiting tickets a connection at hand would let start; no more are opened. The load test fails on the code before (19 connections for 3 slots).

--- a/libs/decisions/include/anvilmount/decisions/admission.hpp
+++ b/libs/decisions/include/anvilmount/decisions/admission.hpp
@@ -59,8 +59,9 @@
     [[nodiscard]] int waiting() const;
     [[nodiscard]] int waiting(int rank) const;
 
-    /// Waiting tickets that need a connection as well as a slot.
-    [[nodiscard]] int waiting_for_connection() const;
+    /// Waiting tickets that could run at once if each had a connection. More
+    /// connections than this would only occupy the upstream.
+    [[nodiscard]] int startable_with_connections() const;
     [[nodiscard]] int running() const;
     [[nodiscard]] int running(int rank) const;
     [[nodiscard]] int slots() const { return m_options.m_slots; }
--- a/libs/decisions/src/admission.cpp
+++ b/libs/decisions/src/admission.cpp
@@ -157,12 +157,13 @@
     return sum;
 }
 
-int admission::waiting_for_connection() const {
+int admission::startable_with_connections() const {
     int sum = 0;
-    for (const rank_queue& queue : m_queues) {
-        sum += queue.m_waiting;
+    for (int rank = most_urgent_rank; rank <= least_urgent_rank; ++rank) {
+        const rank_queue& queue = queue_of(rank);
+        sum += std::clamp(greatest_running(rank) - queue.m_running, 0, queue.m_waiting);
     }
-    return sum;
+    return std::min(sum, std::max(0, m_options.m_slots - running()));
 }
 
 int admission::running(int rank) const {
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -338,7 +338,7 @@
         return;
     }
     int wanted = m_accounting.connections_to_open(
-        m_queue.waiting_for_connection() + static_cast<int>(m_unasked.size()), m_clock.m_now());
+        m_queue.startable_with_connections() + static_cast<int>(m_unasked.size()), m_clock.m_now());
     for (; wanted > 0; --wanted) {
         start_link();
     }
--- a/libs/node/src/upstream_home.cpp
+++ b/libs/node/src/upstream_home.cpp
@@ -287,7 +287,7 @@
 }
 
 void upstream_home::open_connections() {
-    const int count = m_pool.connections_to_open(m_admission.waiting_for_connection(), reactor::now());
+    const int count = m_pool.connections_to_open(m_admission.startable_with_connections(), reactor::now());
     for (int opened = 0; opened < count; ++opened) {
         m_pool.note_opening();
         const auto self = std::make_shared<std::weak_ptr<upstream_connection>>();
--- a/test/correctness/admission.cpp
+++ b/test/correctness/admission.cpp
@@ -43,6 +43,21 @@
     BOOST_TEST(queue.next(true)->m_rank == 1);
 }
 
+BOOST_AUTO_TEST_CASE(connections_are_wanted_only_for_what_could_run) {
+    admission queue(three_slots());
+    for (std::uint64_t id = 1; id <= 9; ++id) {
+        BOOST_TEST((queue.enqueue(ticket(id, 3)) == enqueue_result::queued));
+    }
+    BOOST_TEST(queue.startable_with_connections() == 2);
+    BOOST_TEST(queue.next(true).has_value());
+    BOOST_TEST(queue.startable_with_connections() == 1);
+    BOOST_TEST((queue.enqueue(ticket(10, 1)) == enqueue_result::queued));
+    BOOST_TEST(queue.startable_with_connections() == 2);
+    BOOST_TEST(queue.next(true).has_value());
+    BOOST_TEST(queue.next(true).has_value());
+    BOOST_TEST(queue.startable_with_connections() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(lower_ranks_keep_their_floor_in_a_flood_of_urgent_work) {
     admission queue(three_slots());
     std::map<int, int> granted;
--- a/test/gateway/load.cpp
+++ b/test/gateway/load.cpp
@@ -126,6 +126,17 @@
     BOOST_TEST(fleet.m_upstreams.at("orders-1").m_most_open <= 21);
 }
 
+BOOST_AUTO_TEST_CASE(a_burst_opens_no_more_connections_than_may_run) {
+    test::gateway_fleet fleet(1);
+    callers burst;
+    send(fleet, burst, "look", 150);
+    fleet.run_for(500ms);
+    // Three statements run at an upstream at once; one idle connection is kept at hand.
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST(fleet.m_upstreams.at("orders-" + std::to_string(number)).m_most_open <= 4);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(spare_connections_are_closed_after_a_burst) {
     test::gateway_fleet fleet(1);
     callers burst;
