Renew the lease by heartbeats on the condition that records and configuration are the newest

Change: each change of a record writes a head row too; a heartbeat expects the head and the configuration's row as known here. Done, it renews the lease; refused, it says what to read again, so quiet feeds may wait 15 s (registrations: the drain time). Silence proves itself after one lease. Members count for a change only as looked at after it. Changes that come in series are read together. The client now reads the rows of a refused change. The check that being current is dated from the question went with what it checked: the lease is dated from its heartbeat, and what a silent feed withholds comes by refresh (new tests, at the follower and in the fleet).

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -41,6 +41,7 @@
     group_record m_record{};
     std::vector<plan_upstream> m_upstreams{};
     std::vector<plan_member> m_members{}; ///< Instances alive lately, the steward's own among them.
+    bool m_members_current{true};         ///< As they were when m_record was known here, or later.
     steady_time m_record_seen_at{};       ///< When the steward first saw this record.
     bool m_steward_misses_primary{false}; ///< Or has no connections to judge by.
     bool m_registry_settled{true};        ///< What is not registered is gone.
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -26,8 +26,9 @@
 /// connections does not run, and comes back as a replica once another leads.
 bool nobody_uses_old_primary(const plan_view& view) {
     return view.m_primary_refuses ||
-           std::all_of(view.m_members.begin(), view.m_members.end(),
-                       [](const plan_member& each) { return each.m_agreed || each.m_cannot_use; });
+           (view.m_members_current &&
+            std::all_of(view.m_members.begin(), view.m_members.end(),
+                        [](const plan_member& each) { return each.m_agreed || each.m_cannot_use; }));
 }
 
 }
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -27,10 +27,8 @@
 /// How often one instance calls the store for the fleet's sake. The calls of all
 /// instances add up, and each is paid for.
 struct fleet_pace {
-    milliseconds m_heartbeat{3000};
+    milliseconds m_heartbeat{2000};
     milliseconds m_poll{2000}; ///< Between two looks at the members.
-    milliseconds m_records_wait{
-        2000}; ///< A quiet feed of the records answers after this, which renews the lease.
 };
 
 struct coordinator_options {
@@ -40,9 +38,7 @@
     endpoint m_relay_address{};
     data_centre m_data_centre{};
     fleet_pace m_small_fleet{};
-    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{5000},
-                             .m_poll = milliseconds{10000},
-                             .m_records_wait = milliseconds{3000}};
+    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{4000}, .m_poll = milliseconds{10000}};
 };
 
 struct coordinator_ports {
@@ -51,6 +47,7 @@
     promotion_port m_promote{};
     status_reader m_read_status{};
     process_probe m_probe{};
+    followed_row m_configuration{};
 };
 
 using group_map = std::map<group_name, std::unique_ptr<group_service>>;
@@ -103,7 +100,6 @@
         steady_time m_busy_until{}; ///< A write or promotion is on its way.
     };
 
-    void renew_lease();
     void on_records();
     void adopt(const group_name& name, group_service& group);
     [[nodiscard]] const fleet_pace& pace() const;
@@ -111,6 +107,8 @@
     [[nodiscard]] member_record own_record() const;
     void heartbeat();
     void on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply);
+    void on_heartbeat_conflict(bool renewed, const store_answer& reply);
+    [[nodiscard]] std::vector<store_row> heartbeat_conditions(bool renews) const;
     void poll_members();
     void on_members(steady_time asked_at, const store_answer& reply);
     void take_member(const store_row& row);
@@ -138,8 +136,9 @@
     std::map<std::string, member> m_members;
     steady_time m_members_seen_at{}; ///< When the last look that was answered was sent.
     std::map<group_name, std::unique_ptr<group_work>> m_work;
-    std::optional<steady_time> m_current_as_of;  ///< The records were certainly the newest then.
+    std::uint64_t m_records_head{0}; ///< Version of the last change of any record, as far as known.
     std::optional<steady_time> m_heartbeat_done; ///< When the last one that arrived was sent.
+    bool m_heartbeat_failed{false};              ///< The last one.
     steady_time m_next_heartbeat{};
     bool m_heartbeat_under_way{false};
     std::optional<member_record> m_reported; ///< As last stored.
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -34,6 +34,7 @@
     promotion_port m_promote{};
     status_reader m_read_status{};
     process_probe m_probe{};
+    followed_row m_configuration{}; ///< From which adopt_configuration() is told.
 };
 
 /// A caller whose session is served elsewhere, as far as leaving concerns it.
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -122,6 +122,13 @@
     failed,      ///< Refused, or no answer: the order may still take effect.
 };
 
+/// A copy of rows that is kept elsewhere, as far as a heartbeat checks it.
+struct followed_row {
+    /// The row as known here; only its table, key and version count.
+    std::function<std::optional<store_row>()> m_newest{[] { return std::nullopt; }};
+    std::function<void()> m_refresh{[] {}}; ///< It is not the newest.
+};
+
 /// Orders `candidate` to lead `group`.
 using promotion_port =
     std::function<void(const group_name& group, const upstream_id& candidate, const std::string& holder,
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -14,21 +14,27 @@
 
 class table_follower {
 public:
-    /// `on_current` is called after each answer, with when its question was sent.
-    struct callbacks {
-        std::function<void(const std::map<std::string, store_row>& rows)> m_on_change{};
-        std::function<void(steady_time asked_at)> m_on_current{};
+    /// Called with all rows once the table is known, and after each change.
+    using change_handler = std::function<void(const std::map<std::string, store_row>& rows)>;
+
+    struct options {
+        std::string m_table{};
+        milliseconds m_wait{15000}; ///< A quiet feed answers after this.
+        milliseconds m_spacing{0};  ///< Least time between two questions: changes in series come together.
     };
 
-    table_follower(std::string table, milliseconds wait, const clock_port& clock, const store_port& store,
-                   callbacks told);
+    table_follower(options following, const clock_port& clock, const store_port& store,
+                   change_handler on_change);
 
     void start();
 
-    /// Changes how long a quiet feed waits, from the next question on.
-    void set_wait(milliseconds wait) { m_wait = wait; }
+    /// Reads the whole table now, and forgets the question that is under way:
+    /// it is known to be overdue, or that the copy is not the newest.
+    void refresh();
 
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
+    /// Up to which version of the store the copy is current.
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
     [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_rows; }
 
     /// Since when questions have gone unanswered or were refused; unset while all is well.
@@ -38,20 +44,22 @@
 
 private:
     void ask(bool whole);
-    void on_answer(bool whole, steady_time asked_at, const store_answer& reply);
+    void on_answer(bool whole, const store_answer& reply);
+    void ask_next();
     bool take(const store_row& row);
     bool take_whole(const store_answer& reply);
     void ask_later();
 
-    std::string m_table;
-    milliseconds m_wait;
+    options m_options;
     const clock_port& m_clock;
     const store_port& m_store;
-    callbacks m_told;
+    change_handler m_on_change;
     std::map<std::string, store_row> m_rows; ///< Key: row key.
     std::uint64_t m_version{0};              ///< Up to which m_rows is current.
     bool m_loaded{false};
-    int m_failures{0}; ///< In a row.
+    bool m_reads_whole{false};
+    std::uint64_t m_question{0}; ///< Number of the newest; answers to others are ignored.
+    int m_failures{0};           ///< In a row.
     std::optional<steady_time> m_lost_since;
     steady_time m_regained_at{};
 };
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -15,6 +15,10 @@
 const std::string member_prefix = "member/";
 const std::string steward_key = "steward";
 
+/// Written with each change of a record, so that a heartbeat can be made on the
+/// condition that the records known here are the newest.
+const std::string head_key = "records";
+
 /// From this size on the calls of the fleet weigh more than the seconds that they save.
 constexpr std::size_t large_fleet = 24;
 
@@ -27,10 +31,8 @@
 constexpr int heartbeats_missed = 2;
 constexpr milliseconds heartbeat_delay{2000};
 
-/// The lease is renewed only while heartbeats get through, so that silence for
-/// longer than both proves that an instance holds none.
-constexpr milliseconds heartbeat_validity{8000};
-constexpr milliseconds proof_of_silence{21000};
+/// On top of the lease: timers are late, and the clocks of two machines drift.
+constexpr milliseconds lease_slack{200};
 
 /// A steward that has not renewed its row for this long is replaced: two renewals and their time.
 constexpr milliseconds steward_renewal{1500};
@@ -59,27 +61,18 @@
 fleet_coordinator::fleet_coordinator(coordinator_options options, coordinator_ports ports,
                                      confirmation_lease& lease, group_map& groups, metrics& counters)
     : m_options(std::move(options)), m_ports(std::move(ports)), m_lease(lease), m_groups(groups),
-      m_metrics(counters),
-      m_records(records_table, m_options.m_small_fleet.m_records_wait, *m_ports.m_clock, *m_ports.m_store,
-                {.m_on_change = [this](const auto&) { on_records(); },
-                 .m_on_current =
-                     [this](steady_time asked_at) {
-                         m_current_as_of = asked_at;
-                         renew_lease();
-                     }}) {}
+      m_metrics(counters), m_records({.m_table = records_table}, *m_ports.m_clock, *m_ports.m_store,
+                                     [this](const auto&) { on_records(); }) {}
 
 void fleet_coordinator::start() {
-    heartbeat();
+    m_records.start();
     poll_members();
 }
 
-void fleet_coordinator::renew_lease() {
-    if (m_current_as_of && m_heartbeat_done) {
-        m_lease.confirm(std::min(*m_current_as_of, *m_heartbeat_done + heartbeat_validity));
-    }
-}
-
 void fleet_coordinator::on_records() {
+    for (const auto& [key, row] : m_records.rows()) {
+        m_records_head = std::max(m_records_head, row.m_version);
+    }
     for (const auto& [name, group] : m_groups) {
         adopt(name, *group);
     }
@@ -89,6 +82,19 @@
     on_records();
 }
 
+std::vector<store_row> fleet_coordinator::heartbeat_conditions(bool renews) const {
+    std::vector<store_row> conditions{
+        {.m_table = members_table, .m_key = head_key, .m_version = m_records_head}};
+    if (const auto configuration = m_ports.m_configuration.m_newest()) {
+        conditions.push_back(*configuration);
+    }
+    if (renews) {
+        conditions.push_back(
+            {.m_table = members_table, .m_key = steward_key, .m_version = m_steward_version});
+    }
+    return conditions;
+}
+
 void fleet_coordinator::adopt(const group_name& name, group_service& group) {
     const auto row = m_records.rows().find(name.m_text);
     if (row == m_records.rows().end()) {
@@ -123,7 +129,8 @@
 }
 
 void fleet_coordinator::heartbeat() {
-    if (m_heartbeat_under_way || m_leaving || (m_steward && m_steward_write_under_way)) {
+    const bool knows_newest = m_records.is_loaded() && m_records.version() >= m_records_head;
+    if (m_heartbeat_under_way || m_leaving || !knows_newest || (m_steward && m_steward_write_under_way)) {
         return;
     }
     m_heartbeat_under_way = true;
@@ -131,13 +138,12 @@
     const steady_time now = m_ports.m_clock->m_now();
     m_next_heartbeat = now + (m_steward ? steward_renewal : pace().m_heartbeat);
     const member_record record = own_record();
-    store_change change{.m_writes = {{.m_table = members_table,
+    const bool renews = m_steward;
+    store_change change{.m_expected = heartbeat_conditions(renews),
+                        .m_writes = {{.m_table = members_table,
                                       .m_key = member_prefix + m_options.m_name,
                                       .m_value = to_text(record)}}};
-    const bool renews = m_steward;
     if (renews) {
-        change.m_expected.push_back(
-            {.m_table = members_table, .m_key = steward_key, .m_version = m_steward_version});
         change.m_writes.push_back(
             {.m_table = members_table, .m_key = steward_key, .m_value = to_text(m_steward_record)});
     }
@@ -152,23 +158,59 @@
 
 void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply) {
     m_heartbeat_under_way = false;
-    if (reply.m_status == store_status::done) {
-        if (!m_heartbeat_done) {
-            // Others know of this instance now; only from here on may it hold a lease.
-            m_records.start();
-        }
-        m_heartbeat_done = sent_at;
-        renew_lease();
+    if (reply.m_status == store_status::conflict) {
+        on_heartbeat_conflict(renewed, reply);
+        return;
+    }
+    if (reply.m_status != store_status::done) {
+        m_metrics.count("heartbeats_failed");
+        m_heartbeat_failed = true;
+        m_next_heartbeat = m_ports.m_clock->m_now() + heartbeat_retry;
         if (m_steward && renewed) {
-            m_steward_version = reply.m_version;
-            m_steward_changed_at = m_ports.m_clock->m_now();
+            // Whether the row changed is unknown: the next look decides.
+            step_down();
+            m_next_poll = m_ports.m_clock->m_now();
         }
         return;
     }
-    m_metrics.count("heartbeats_failed");
-    m_next_heartbeat = m_ports.m_clock->m_now() + heartbeat_retry;
+    if (std::exchange(m_heartbeat_failed, false)) {
+        // Questions asked before the store was back may never be answered.
+        m_records.refresh();
+        m_ports.m_configuration.m_refresh();
+    }
+    // The records known here were the newest, and others know of this instance.
+    m_heartbeat_done = sent_at;
+    m_lease.confirm(sent_at);
     if (m_steward && renewed) {
-        // Whether the row changed is unknown: the next look decides.
+        m_steward_version = reply.m_version;
+        m_steward_changed_at = m_ports.m_clock->m_now();
+    }
+}
+
+void fleet_coordinator::on_heartbeat_conflict(bool renewed, const store_answer& reply) {
+    m_next_heartbeat = m_ports.m_clock->m_now() + heartbeat_spacing;
+    const auto version_of = [&](const std::string& key) -> std::uint64_t {
+        const auto found =
+            std::find_if(reply.m_rows.begin(), reply.m_rows.end(), [&](const store_row& row) {
+                return row.m_table == members_table && row.m_key == key;
+            });
+        return found == reply.m_rows.end() ? 0 : found->m_version;
+    };
+    m_records_head = version_of(head_key);
+    if (m_records.version() < m_records_head) {
+        m_records.refresh();
+    }
+    if (const auto configuration = m_ports.m_configuration.m_newest()) {
+        const bool newest =
+            std::any_of(reply.m_rows.begin(), reply.m_rows.end(), [&](const store_row& row) {
+                return row.m_table == configuration->m_table && row.m_key == configuration->m_key &&
+                       row.m_version == configuration->m_version;
+            });
+        if (!newest) {
+            m_ports.m_configuration.m_refresh();
+        }
+    }
+    if (m_steward && renewed && version_of(steward_key) != m_steward_version) {
         step_down();
         m_next_poll = m_ports.m_clock->m_now();
     }
@@ -221,13 +263,14 @@
                     m_steward = true;
                 }
             }
+        } else if (row.m_key == head_key) {
+            m_records_head = std::max(m_records_head, row.m_version);
         } else if (row.m_key.starts_with(member_prefix)) {
             take_member(row);
             kept.insert(m_members.extract(row.m_key));
         }
     }
     m_members = std::move(kept);
-    m_records.set_wait(pace().m_records_wait);
     if (!steward_row) {
         m_steward_version = 0;
         m_steward_changed_at = {};
@@ -347,6 +390,9 @@
     if (m_leaving) {
         return;
     }
+    if (m_records.is_loaded() && m_records.version() < m_records_head) {
+        m_records.refresh();
+    }
     const bool news = m_reported && m_heartbeat_done && now >= *m_heartbeat_done + heartbeat_spacing &&
                       own_record() != *m_reported;
     if (now >= m_next_heartbeat || news) {
@@ -405,7 +451,7 @@
         }
         const auto epoch = each.m_record.m_epochs.find(name);
         const bool agreed = epoch != each.m_record.m_epochs.end() && epoch->second >= record.m_epoch;
-        const bool silent = m_members_seen_at >= each.m_changed_at + proof_of_silence;
+        const bool silent = m_members_seen_at >= each.m_changed_at + m_lease.duration() + lease_slack;
         if (record.m_stage == group_stage::switching && !agreed) {
             probe(each);
         }
@@ -428,6 +474,8 @@
     view.m_steward_misses_primary = group.misses_primary(missing_after) || !group.options().m_holds;
     const auto primary = group.pools().find(view.m_record.m_primary);
     view.m_registry_settled = group.registry_settled();
+    // An instance that began before the record changed is among these; a later one knows the record.
+    view.m_members_current = m_members_seen_at >= work.m_seen_at;
     view.m_primary_refuses = primary != group.pools().end() && primary->second->refuses_connections();
     view.m_members = plan_members(name, view.m_record, group);
     for (const auto& [id, pool] : group.pools()) {
@@ -446,7 +494,7 @@
     const steady_time now = m_ports.m_clock->m_now();
     if (!work) {
         work = std::make_unique<group_work>(
-            group_work{.m_plan = promotion_plan({.m_lease = m_lease.duration() + milliseconds{200}})});
+            group_work{.m_plan = promotion_plan({.m_lease = m_lease.duration() + lease_slack})});
     }
     if (now < work->m_busy_until || !m_records.is_loaded()) {
         return;
@@ -508,7 +556,8 @@
                {"planned", record.m_planned ? "yes" : "no"}});
     m_ports.m_store->m_change(
         {.m_expected = {{.m_table = records_table, .m_key = name.m_text, .m_version = version}},
-         .m_writes = {{.m_table = records_table, .m_key = name.m_text, .m_value = to_text(record)}}},
+         .m_writes = {{.m_table = records_table, .m_key = name.m_text, .m_value = to_text(record)},
+                      {.m_table = members_table, .m_key = head_key}}},
         [name](const store_answer& reply) {
             if (reply.m_status != store_status::done) {
                 log_event(log_level::warning, "steward.record_not_written", {{"group", name.m_text}});
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -49,7 +49,8 @@
                      .m_store = &m_ports.m_store,
                      .m_promote = m_ports.m_promote,
                      .m_read_status = m_ports.m_read_status,
-                     .m_probe = m_ports.m_probe},
+                     .m_probe = m_ports.m_probe,
+                     .m_configuration = m_ports.m_configuration},
                     m_lease, m_groups, m_metrics) {}
 
 void gateway::start() {
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -17,24 +17,45 @@
 
 }
 
-table_follower::table_follower(std::string table, milliseconds wait, const clock_port& clock,
-                               const store_port& store, callbacks told)
-    : m_table(std::move(table)), m_wait(wait), m_clock(clock), m_store(store), m_told(std::move(told)) {}
+table_follower::table_follower(options following, const clock_port& clock, const store_port& store,
+                               change_handler on_change)
+    : m_options(std::move(following)), m_clock(clock), m_store(store), m_on_change(std::move(on_change)) {}
 
 void table_follower::start() {
     ask(true);
 }
 
+void table_follower::refresh() {
+    if (!m_reads_whole) {
+        ask(true);
+    }
+}
+
 void table_follower::ask(bool whole) {
-    const steady_time asked_at = m_clock.m_now();
-    const auto on_reply = [this, whole, asked_at](const store_answer& reply) {
-        on_answer(whole, asked_at, reply);
+    const std::uint64_t question = ++m_question;
+    m_reads_whole = whole;
+    const auto on_reply = [this, whole, question](const store_answer& reply) {
+        if (question == m_question) {
+            on_answer(whole, reply);
+        }
     };
     if (whole) {
-        m_store.m_read_table(m_table, on_reply);
+        m_store.m_read_table(m_options.m_table, on_reply);
     } else {
-        m_store.m_feed(m_table, m_version, m_wait, on_reply);
+        m_store.m_feed(m_options.m_table, m_version, m_options.m_wait, on_reply);
+    }
+}
+
+void table_follower::ask_next() {
+    if (m_options.m_spacing.count() == 0) {
+        ask(false);
+        return;
     }
+    m_clock.m_after(m_options.m_spacing, [this, question = m_question] {
+        if (question == m_question) {
+            ask(false);
+        }
+    });
 }
 
 void table_follower::ask_later() {
@@ -42,13 +63,17 @@
     const milliseconds pause = std::min(longest_pause, first_pause * m_failures);
     // Whole: a feed brings each version since the last answer, which a narrow
     // link may not carry in time, the table only the newest.
-    m_clock.m_after(pause, [this] { ask(true); });
+    m_clock.m_after(pause, [this, question = m_question] {
+        if (question == m_question) {
+            ask(true);
+        }
+    });
 }
 
-void table_follower::on_answer(bool whole, steady_time asked_at, const store_answer& reply) {
+void table_follower::on_answer(bool whole, const store_answer& reply) {
     switch (reply.m_status) {
     case store_status::history_gone:
-        log_event(log_level::info, "store.history_gone", {{"table", m_table}});
+        log_event(log_level::info, "store.history_gone", {{"table", m_options.m_table}});
         ask(true);
         return;
     case store_status::refused:
@@ -56,7 +81,7 @@
     case store_status::conflict:
         if (!m_lost_since) {
             m_lost_since = m_clock.m_now();
-            log_event(log_level::warning, "store.lost", {{"table", m_table}});
+            log_event(log_level::warning, "store.lost", {{"table", m_options.m_table}});
         }
         ask_later();
         return;
@@ -64,7 +89,7 @@
         break;
     }
     if (m_lost_since) {
-        log_event(log_level::info, "store.regained", {{"table", m_table}});
+        log_event(log_level::info, "store.regained", {{"table", m_options.m_table}});
         m_lost_since.reset();
         m_regained_at = m_clock.m_now();
     }
@@ -79,11 +104,14 @@
         }
     }
     m_version = std::max(m_version, reply.m_version);
+    m_reads_whole = false;
+    const std::uint64_t answered = m_question;
     if (changed) {
-        m_told.m_on_change(m_rows);
+        m_on_change(m_rows);
+    }
+    if (m_question == answered) {
+        ask_next();
     }
-    m_told.m_on_current(asked_at);
-    ask(false);
 }
 
 bool table_follower::take(const store_row& row) {
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,7 +52,7 @@
 
     /// The instance's process ends at once.
     void kill(int number);
-    /// The same, and the upstreams notice it only after a while.
+    /// The same, but its address is silent, and the upstreams notice it only after a while.
     void lose_power(int number);
     /// `registry_known`: whether it learns at once what is registered.
     void start(int number, bool registry_known = true);
@@ -64,6 +65,7 @@
     gateway::fleet_configuration m_configuration;
     std::map<std::uint64_t, std::string> m_token_holders; ///< Of promotions, by fencing token.
     bool m_loses_promotion_answers{false};
+    std::set<std::string> m_dark; ///< Instances whose addresses do not answer.
 
 private:
     [[nodiscard]] gateway::gateway_ports ports(const std::string& name);
