--- a/libs/base/include/anvilmount/base/endpoint.hpp
+++ b/libs/base/include/anvilmount/base/endpoint.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace anvilmount {
 
@@ -27,4 +28,7 @@
 /// Reads "ADDRESS:PORT". Errors: bad_address (1602).
 [[nodiscard]] result<endpoint> parse_endpoint(std::string_view text);
 
+/// Reads any number of "ADDRESS:PORT", joined by commas. Errors: bad_address (1602).
+[[nodiscard]] result<std::vector<endpoint>> parse_endpoints(std::string_view text);
+
 }
--- a/libs/base/include/anvilmount/base/settings.hpp
+++ b/libs/base/include/anvilmount/base/settings.hpp
@@ -25,6 +25,9 @@
 /// Returns a check for "IP:PORT"; an empty text passes when `may_be_empty`.
 [[nodiscard]] std::function<bool(const std::string&)> address_text(bool may_be_empty);
 
+/// Returns a check for any number of "IP:PORT", joined by commas.
+[[nodiscard]] std::function<bool(const std::string&)> address_list();
+
 /// Returns a check for a text of 1 to 64 letters, digits, '-', '_' and '.'.
 [[nodiscard]] std::function<bool(const std::string&)> plain_name();
 
--- a/libs/base/src/endpoint.cpp
+++ b/libs/base/src/endpoint.cpp
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace anvilmount {
@@ -31,6 +32,17 @@
     return parsed;
 }
 
+result<std::vector<endpoint>> parse_endpoints(std::string_view text) {
+    std::vector<endpoint> parsed;
+    while (!text.empty()) {
+        const std::size_t comma = std::min(text.find(','), text.size());
+        BOOST_LEAF_AUTO(next, parse_endpoint(text.substr(0, comma)));
+        parsed.push_back(next);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return parsed;
+}
+
 endpoint checked_endpoint(std::string_view text) {
     const auto parsed = outcome_of([&] { return parse_endpoint(text); });
     const auto* read = std::get_if<0>(&parsed);
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -100,6 +100,12 @@
     };
 }
 
+std::function<bool(const std::string&)> address_list() {
+    return [](const std::string& value) {
+        return outcome_of([&] { return parse_endpoints(value); }).index() == 0;
+    };
+}
+
 std::function<bool(const std::string&)> plain_name() {
     return [](const std::string& value) {
         const auto allowed = [](unsigned char letter) {
--- /dev/null
+++ b/libs/decisions/src/store_path.cpp
@@ -0,0 +1,80 @@
+/// \file store_path.cpp
+#include "anvilmount/decisions/store_path.hpp"
+
+#include "anvilmount/decisions/placement.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvilmount {
+namespace {
+
+/// A way that failed is left alone this long: below the seconds within which a
+/// configuration must be in force, above the cost of a refused call.
+constexpr milliseconds failure_pause{1000};
+
+/// Relays that are tried before nothing else helps; a store that turns a third
+/// of the instances away rarely turns all of these away.
+constexpr std::size_t most_relays = 4;
+
+std::uint64_t weight(const std::string& name) {
+    return stable_hash("asks the store: " + name);
+}
+
+}
+
+std::vector<store_path> store_path_order(const store_path_request& request) {
+    std::vector<store_relay_candidate> others(request.m_others.begin(), request.m_others.end());
+    std::erase_if(others, [&](const store_relay_candidate& each) { return each.m_name == request.m_self; });
+    const auto ranks_before = [&](const store_relay_candidate& left, const store_relay_candidate& right) {
+        const bool left_near = left.m_data_centre == request.m_data_centre;
+        const bool right_near = right.m_data_centre == request.m_data_centre;
+        return left_near != right_near ? left_near : weight(left.m_name) > weight(right.m_name);
+    };
+    std::sort(others.begin(), others.end(), ranks_before);
+    const bool is_relay = others.empty() || others.front().m_data_centre != request.m_data_centre ||
+                          weight(request.m_self) > weight(others.front().m_name);
+    others.resize(std::min(others.size(), most_relays));
+    std::vector<store_path> order;
+    order.reserve(others.size() + 1);
+    for (const store_relay_candidate& each : others) {
+        order.push_back({.m_relay = each.m_address});
+    }
+    const bool own_first = request.m_prefers_own || is_relay;
+    order.insert(order.begin() + (own_first ? 0 : 1), store_path{});
+    return order;
+}
+
+store_path_choice::store_path_choice() : m_order{store_path{}} {}
+
+void store_path_choice::set_order(std::vector<store_path> order) {
+    m_order = std::move(order);
+    std::erase_if(m_failing_until, [&](const auto& each) {
+        return std::find(m_order.begin(), m_order.end(), each.first) == m_order.end();
+    });
+}
+
+bool store_path_choice::fails(const store_path& path, steady_time now) const {
+    const auto found = m_failing_until.find(path);
+    return found != m_failing_until.end() && now < found->second;
+}
+
+store_path store_path_choice::choose(steady_time now) const {
+    const auto found = std::find_if(m_order.begin(), m_order.end(),
+                                    [&](const store_path& each) { return !fails(each, now); });
+    return found == m_order.end() ? store_path{} : *found;
+}
+
+void store_path_choice::note_answered(const store_path& path) {
+    m_failing_until.erase(path);
+}
+
+void store_path_choice::note_failed(const store_path& path, steady_time now) {
+    m_failing_until[path] = now + failure_pause;
+}
+
+bool store_path_choice::own_fails(steady_time now) const {
+    return fails(store_path{}, now);
+}
+
+}
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -7,6 +7,7 @@
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/group_holders.hpp"
 #include "anvilmount/decisions/promotion_plan.hpp"
+#include "anvilmount/decisions/store_path.hpp"
 #include "anvilmount/gateway/fleet_membership.hpp"
 #include "anvilmount/gateway/group_service.hpp"
 #include "anvilmount/gateway/ports.hpp"
@@ -28,7 +29,8 @@
 /// instances add up, and each is paid for.
 struct fleet_pace {
     milliseconds m_heartbeat{2000};
-    milliseconds m_poll{2000}; ///< Between two looks at the members.
+    milliseconds m_poll{2000};        ///< Between two looks at the members.
+    milliseconds m_heartbeat_wait{0}; ///< A heartbeat without news may wait this long for those of others.
 };
 
 struct coordinator_options {
@@ -36,9 +38,12 @@
     std::string m_incarnation{};
     endpoint m_probe_address{};
     endpoint m_relay_address{};
+    endpoint m_store_relay{};
     data_centre m_data_centre{};
     fleet_pace m_small_fleet{};
-    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{4000}, .m_poll = milliseconds{10000}};
+    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{4000},
+                             .m_poll = milliseconds{10000},
+                             .m_heartbeat_wait = milliseconds{1000}};
 };
 
 struct coordinator_ports {
@@ -79,6 +84,18 @@
     /// Returns where an instance takes sessions that are handed on; nothing when it is not known.
     [[nodiscard]] std::optional<endpoint> relay_address(const std::string& name) const;
     [[nodiscard]] bool is_steward() const { return m_steward; }
+
+    /// Returns the other instances that may ask the store for this one.
+    [[nodiscard]] std::vector<store_relay_candidate> store_relays() const;
+
+    /// Whether the fleet is so large that its calls of the store are to be few.
+    [[nodiscard]] bool is_large() const;
+
+    /// When the members were last looked at.
+    [[nodiscard]] steady_time members_seen_at() const { return m_members_seen_at; }
+
+    /// The groups' records as followed here.
+    [[nodiscard]] const table_follower& records() const { return m_records; }
     [[nodiscard]] bool has_records() const { return m_records.is_loaded(); }
 
 private:
@@ -105,7 +122,8 @@
     [[nodiscard]] const fleet_pace& pace() const;
     [[nodiscard]] bool is_alive(const member& each) const;
     [[nodiscard]] member_record own_record() const;
-    void heartbeat();
+    void heartbeat(milliseconds may_wait);
+    [[nodiscard]] bool has_news() const;
     void on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply);
     void on_heartbeat_conflict(bool renewed, const store_answer& reply);
     [[nodiscard]] std::vector<store_row> heartbeat_conditions(bool renews) const;
@@ -144,6 +162,7 @@
     std::optional<member_record> m_reported; ///< As last stored.
     steady_time m_next_poll{};
     bool m_poll_under_way{false};
+    std::size_t m_polls{0}; ///< Of the first ones, which come sooner.
     steward_record m_steward_record;
     std::uint64_t m_steward_version{0};
     steady_time m_steward_changed_at{};
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -22,6 +22,7 @@
     std::string m_incarnation{}; ///< New at each start of its process.
     endpoint m_probe_address{};  ///< A connection that is refused there proves that the process has ended.
     endpoint m_relay_address{};  ///< Where it takes sessions that another instance hands on.
+    endpoint m_store_relay{};    ///< Where it asks the store for others; port 0: it does not.
     data_centre m_data_centre{};
     bool m_leaving{false};                          ///< Takes no more sessions.
     std::map<group_name, std::uint64_t> m_epochs{}; ///< Of the records that it has taken in.
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -6,6 +6,8 @@
 #include "anvilmount/gateway/caller_session.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/fleet_coordinator.hpp"
+#include "anvilmount/gateway/store_access.hpp"
+#include "anvilmount/gateway/store_relay.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -23,6 +25,8 @@
     data_centre m_data_centre{};
     endpoint m_probe_address{};
     endpoint m_relay_address{};
+    endpoint m_store_relay{};        ///< Where it asks the store for others.
+    std::vector<endpoint> m_seeds{}; ///< Where others may ask the store for it before any is known.
     milliseconds m_lease{12000};
     std::size_t m_most_sessions{3000};
 };
@@ -30,7 +34,8 @@
 struct gateway_ports {
     clock_port m_clock{};
     upstream_connector m_connect{};
-    store_port m_store{};
+    store_port m_store{}; ///< Over connections of its own.
+    peer_exchange m_ask_peer{};
     promotion_port m_promote{};
     status_reader m_read_status{};
     process_probe m_probe{};
@@ -53,6 +58,17 @@
     /// Joins the fleet.
     void start();
 
+    /// The way to the metadata store, be it through another instance.
+    [[nodiscard]] const store_port& store() const { return m_store.port(); }
+
+    /// Answers other instances' questions about a table from `copy`, which must outlive them.
+    void share(const table_follower& copy) { m_relay.share(copy); }
+
+    /// Answers another instance's question to the store.
+    void serve_store_question(const std::string& question, store_relay::responder respond) {
+        m_relay.serve(question, std::move(respond));
+    }
+
     /// Takes in a configuration; one that is not newer is ignored.
     void adopt_configuration(const fleet_configuration& newest);
 
@@ -113,12 +129,17 @@
     void apply_registry();
     void apply_groups();
     void tick_leaving();
+    void order_store_paths();
     [[nodiscard]] session_host host();
     [[nodiscard]] group_options options_for(const group_name& name) const;
 
     gateway_options m_options;
     gateway_ports m_ports;
     metrics m_metrics;
+    store_access m_store;
+    store_relay m_relay;
+    steady_time m_ordered_paths_at{}; ///< The members looked at then made the order of ways to the store.
+    bool m_ordered_as_steward{false};
     confirmation_lease m_lease;
     group_map m_groups;
     fleet_coordinator m_coordinator;
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -97,6 +97,7 @@
     store_status m_status{store_status::refused};
     std::vector<store_row> m_rows{};
     std::uint64_t m_version{0}; ///< Newest version of the store when it answered.
+    milliseconds m_age{0}; ///< Since the store was asked; above 0 only where another instance asked it.
 };
 
 /// A change that is made as a whole or not at all.
@@ -104,6 +105,7 @@
     std::vector<store_row> m_expected{}; ///< Only table, key and version count.
     std::vector<store_row> m_writes{};
     std::vector<store_row> m_removals{};
+    milliseconds m_may_wait{0}; ///< May be made together with changes of other instances until then.
 };
 
 using store_callback = std::function<void(const store_answer&)>;
@@ -122,11 +124,18 @@
     failed,      ///< Refused, or no answer: the order may still take effect.
 };
 
-/// A copy of rows that is kept elsewhere, as far as a heartbeat checks it.
+/// Puts a question to the instance at `where`; nothing when no answer came in time.
+using peer_exchange =
+    std::function<void(const endpoint& where, const std::string& question, milliseconds patience,
+                       std::function<void(std::optional<std::string>)>)>;
+
+/// A row that is followed elsewhere and that heartbeats check.
 struct followed_row {
     /// The row as known here; only its table, key and version count.
     std::function<std::optional<store_row>()> m_newest{[] { return std::nullopt; }};
     std::function<void()> m_refresh{[] {}}; ///< It is not the newest.
+    /// The store answers again: what was asked before may stay unanswered, about this and other tables.
+    std::function<void()> m_ask_anew{[] {}};
 };
 
 /// Orders `candidate` to lead `group`.
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -32,9 +32,12 @@
     /// it is known to be overdue, or that the copy is not the newest.
     void refresh();
 
+    [[nodiscard]] const std::string& table() const { return m_options.m_table; }
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
     /// Up to which version of the store the copy is current.
     [[nodiscard]] std::uint64_t version() const { return m_version; }
+    /// Up to which version rows that are gone by now may have been there.
+    [[nodiscard]] std::uint64_t removed_at() const { return m_removed_at; }
     [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_rows; }
 
     /// Since when questions have gone unanswered or were refused; unset while all is well.
@@ -56,6 +59,7 @@
     change_handler m_on_change;
     std::map<std::string, store_row> m_rows; ///< Key: row key.
     std::uint64_t m_version{0};              ///< Up to which m_rows is current.
+    std::uint64_t m_removed_at{0};
     bool m_loaded{false};
     bool m_reads_whole{false};
     std::uint64_t m_question{0}; ///< Number of the newest; answers to others are ignored.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -5,6 +5,7 @@
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace anvilmount::gateway {
@@ -43,6 +44,9 @@
 
 constexpr milliseconds poll_while_switching{60};
 
+/// Looks at the members soon after the start, when many may have started together.
+constexpr std::array first_polls{milliseconds{300}, milliseconds{1200}, milliseconds{4000}};
+
 /// Instances that look at the steward's row often, also in a large fleet.
 constexpr int successors = 4;
 
@@ -106,10 +110,7 @@
         return;
     }
     const std::uint64_t epoch = record->m_epoch;
-    group.adopt_record(*record, [this, name, epoch] {
-        m_agreed[name] = epoch;
-        m_next_heartbeat = std::min(m_next_heartbeat, m_ports.m_clock->m_now());
-    });
+    group.adopt_record(*record, [this, name, epoch] { m_agreed[name] = epoch; });
 }
 
 member_record fleet_coordinator::own_record() const {
@@ -117,6 +118,7 @@
                          .m_incarnation = m_options.m_incarnation,
                          .m_probe_address = m_options.m_probe_address,
                          .m_relay_address = m_options.m_relay_address,
+                         .m_store_relay = m_options.m_store_relay,
                          .m_data_centre = m_options.m_data_centre,
                          .m_leaving = m_resigned,
                          .m_epochs = m_agreed};
@@ -128,7 +130,7 @@
     return record;
 }
 
-void fleet_coordinator::heartbeat() {
+void fleet_coordinator::heartbeat(milliseconds may_wait) {
     const bool knows_newest = m_records.is_loaded() && m_records.version() >= m_records_head;
     if (m_heartbeat_under_way || m_leaving || !knows_newest || (m_steward && m_steward_write_under_way)) {
         return;
@@ -142,7 +144,8 @@
     store_change change{.m_expected = heartbeat_conditions(renews),
                         .m_writes = {{.m_table = members_table,
                                       .m_key = member_prefix + m_options.m_name,
-                                      .m_value = to_text(record)}}};
+                                      .m_value = to_text(record)}},
+                        .m_may_wait = renews ? milliseconds{0} : may_wait};
     if (renews) {
         change.m_writes.push_back(
             {.m_table = members_table, .m_key = steward_key, .m_value = to_text(m_steward_record)});
@@ -174,9 +177,8 @@
         return;
     }
     if (std::exchange(m_heartbeat_failed, false)) {
-        // Questions asked before the store was back may never be answered.
         m_records.refresh();
-        m_ports.m_configuration.m_refresh();
+        m_ports.m_configuration.m_ask_anew();
     }
     // The records known here were the newest, and others know of this instance.
     m_heartbeat_done = sent_at;
@@ -229,7 +231,12 @@
     }
     m_poll_under_way = true;
     const bool watches = m_steward || is_successor();
-    m_next_poll = m_ports.m_clock->m_now() + (watches ? m_options.m_small_fleet.m_poll : pace().m_poll);
+    milliseconds pause = watches ? m_options.m_small_fleet.m_poll : pace().m_poll;
+    if (m_polls < first_polls.size()) {
+        pause = std::min(pause, first_polls.at(m_polls));
+        ++m_polls;
+    }
+    m_next_poll = m_ports.m_clock->m_now() + pause;
     m_ports.m_store->m_read_table(members_table,
                                   [this, asked_at = m_ports.m_clock->m_now()](const store_answer& reply) {
                                       m_poll_under_way = false;
@@ -241,7 +248,7 @@
     if (reply.m_status != store_status::done) {
         return;
     }
-    m_members_seen_at = asked_at;
+    m_members_seen_at = std::max(m_members_seen_at, asked_at - reply.m_age);
     bool steward_row = false;
     std::map<std::string, member> kept;
     for (const store_row& row : reply.m_rows) {
@@ -345,12 +352,12 @@
 }
 
 const fleet_pace& fleet_coordinator::pace() const {
-    return m_members.size() >= large_fleet ? m_options.m_large_fleet : m_options.m_small_fleet;
+    return is_large() ? m_options.m_large_fleet : m_options.m_small_fleet;
 }
 
 bool fleet_coordinator::is_alive(const member& each) const {
     if (each.m_record.m_name == m_options.m_name) {
-        return !m_resigned;
+        return true;
     }
     // Ages end with the last look: an instance that cannot look knows of no new silence.
     const milliseconds lifetime = pace().m_heartbeat * heartbeats_missed + heartbeat_delay + pace().m_poll;
@@ -364,16 +371,15 @@
 }
 
 std::vector<holder_candidate> fleet_coordinator::holders(const group_name& group, int connections) const {
-    std::vector<holder_candidate> candidates;
+    std::vector<holder_candidate> candidates{
+        {.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre}};
     for (const auto& [key, each] : m_members) {
-        if (is_alive(each) && !each.m_record.m_leaving) {
+        const bool other = each.m_record.m_name != m_options.m_name;
+        if (other && is_alive(each) && !each.m_record.m_leaving) {
             candidates.push_back(
                 {.m_name = each.m_record.m_name, .m_data_centre = each.m_record.m_data_centre});
         }
     }
-    if (candidates.empty()) {
-        candidates.push_back({.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre});
-    }
     return group_holders(group, connections, candidates);
 }
 
@@ -385,6 +391,40 @@
     return found->second.m_record.m_relay_address;
 }
 
+std::vector<store_relay_candidate> fleet_coordinator::store_relays() const {
+    std::vector<store_relay_candidate> relays;
+    for (const auto& [key, each] : m_members) {
+        const bool other = each.m_record.m_name != m_options.m_name;
+        if (other && is_alive(each) && !each.m_record.m_leaving &&
+            each.m_record.m_store_relay.m_port != 0) {
+            relays.push_back({.m_name = each.m_record.m_name,
+                              .m_data_centre = each.m_record.m_data_centre,
+                              .m_address = each.m_record.m_store_relay});
+        }
+    }
+    return relays;
+}
+
+bool fleet_coordinator::is_large() const {
+    return m_members.size() >= large_fleet;
+}
+
+bool fleet_coordinator::has_news() const {
+    if (!m_reported) {
+        return false;
+    }
+    const member_record now = own_record();
+    // The steward waits for agreement with a change that is under way, for no other.
+    const bool agrees = std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& group) {
+        const auto epoch = [&](const member_record& record) {
+            const auto found = record.m_epochs.find(group.first);
+            return found == record.m_epochs.end() ? 0 : found->second;
+        };
+        return group.second->record().m_stage == group_stage::switching && epoch(now) != epoch(*m_reported);
+    });
+    return agrees || now.m_missing != m_reported->m_missing || now.m_leaving != m_reported->m_leaving;
+}
+
 void fleet_coordinator::tick() {
     const steady_time now = m_ports.m_clock->m_now();
     if (m_leaving) {
@@ -393,10 +433,11 @@
     if (m_records.is_loaded() && m_records.version() < m_records_head) {
         m_records.refresh();
     }
-    const bool news = m_reported && m_heartbeat_done && now >= *m_heartbeat_done + heartbeat_spacing &&
-                      own_record() != *m_reported;
-    if (now >= m_next_heartbeat || news) {
-        heartbeat();
+    const bool spaced = !m_heartbeat_done || now >= *m_heartbeat_done + heartbeat_spacing;
+    if (spaced && has_news()) {
+        heartbeat(milliseconds{0});
+    } else if (now >= m_next_heartbeat) {
+        heartbeat(m_heartbeat_done ? pace().m_heartbeat_wait : milliseconds{0});
     }
     const bool switching = m_steward && std::any_of(m_groups.begin(), m_groups.end(), [](const auto& each) {
                                return each.second->record().m_stage == group_stage::switching ||
@@ -433,20 +474,17 @@
 
 std::vector<plan_member> fleet_coordinator::plan_members(const group_name& name, const group_record& record,
                                                          const group_service& group) {
-    const steady_time now = m_ports.m_clock->m_now();
     const std::vector<holder_candidate> holding = holders(name, group.options().m_most_connections);
     const auto holds = [&](const std::string& instance) {
         return std::any_of(holding.begin(), holding.end(),
                            [&](const holder_candidate& each) { return each.m_name == instance; });
     };
-    std::vector<plan_member> members;
+    const auto own = m_agreed.find(name);
+    std::vector<plan_member> members{{.m_agreed = own != m_agreed.end() && own->second >= record.m_epoch,
+                                      .m_holds = holds(m_options.m_name),
+                                      .m_misses_primary = group.misses_primary(missing_after)}};
     for (auto& [key, each] : m_members) {
-        if (each.m_record.m_name == m_options.m_name &&
-            each.m_record.m_incarnation == m_options.m_incarnation) {
-            const auto agreed = m_agreed.find(name);
-            members.push_back({.m_agreed = agreed != m_agreed.end() && agreed->second >= record.m_epoch,
-                               .m_holds = holds(m_options.m_name),
-                               .m_misses_primary = group.misses_primary(missing_after)});
+        if (each.m_record.m_name == m_options.m_name) {
             continue;
         }
         const auto epoch = each.m_record.m_epochs.find(name);
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -50,6 +50,7 @@
                 {"incarnation", record.m_incarnation},
                 {"probe", to_string(record.m_probe_address)},
                 {"relay", to_string(record.m_relay_address)},
+                {"store_relay", to_string(record.m_store_relay)},
                 {"data_centre", record.m_data_centre.m_text},
                 {"leaving", record.m_leaving},
                 {"epochs", epochs},
@@ -80,6 +81,7 @@
                              .m_incarnation = value.at("incarnation").get<std::string>()};
         record.m_probe_address = address_from(value.at("probe"));
         record.m_relay_address = address_from(value.at("relay"));
+        record.m_store_relay = address_from(value.value("store_relay", json("")));
         record.m_data_centre = {value.at("data_centre").get<std::string>()};
         record.m_leaving = value.at("leaving").get<bool>();
         for (const auto& [group, epoch] : value.at("epochs").items()) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -39,24 +39,51 @@
 }
 
 gateway::gateway(gateway_options options, gateway_ports ports)
-    : m_options(std::move(options)), m_ports(std::move(ports)), m_lease(m_options.m_lease),
+    : m_options(std::move(options)), m_ports(std::move(ports)),
+      m_store(m_ports.m_clock, m_ports.m_store, m_ports.m_ask_peer, m_metrics),
+      m_relay(m_ports.m_clock, m_ports.m_store, m_store, m_metrics), m_lease(m_options.m_lease),
       m_coordinator({.m_name = m_options.m_name,
                      .m_incarnation = m_options.m_incarnation,
                      .m_probe_address = m_options.m_probe_address,
                      .m_relay_address = m_options.m_relay_address,
+                     .m_store_relay = m_options.m_store_relay,
                      .m_data_centre = m_options.m_data_centre},
                     {.m_clock = &m_ports.m_clock,
-                     .m_store = &m_ports.m_store,
+                     .m_store = &m_store.port(),
                      .m_promote = m_ports.m_promote,
                      .m_read_status = m_ports.m_read_status,
                      .m_probe = m_ports.m_probe,
                      .m_configuration = m_ports.m_configuration},
-                    m_lease, m_groups, m_metrics) {}
+                    m_lease, m_groups, m_metrics) {
+    std::vector<store_path> first{store_path{}};
+    for (const endpoint& seed : m_options.m_seeds) {
+        if (seed != m_options.m_store_relay) {
+            first.push_back({.m_relay = seed});
+        }
+    }
+    m_store.set_order(std::move(first));
+    m_relay.share(m_coordinator.records());
+}
 
 void gateway::start() {
     m_coordinator.start();
 }
 
+void gateway::order_store_paths() {
+    const steady_time seen = m_coordinator.members_seen_at();
+    const bool steward = m_coordinator.is_steward();
+    if (seen == m_ordered_paths_at && steward == m_ordered_as_steward) {
+        return;
+    }
+    m_ordered_paths_at = seen;
+    m_ordered_as_steward = steward;
+    const std::vector<store_relay_candidate> others = m_coordinator.store_relays();
+    m_store.set_order(store_path_order({.m_self = m_options.m_name,
+                                        .m_data_centre = m_options.m_data_centre,
+                                        .m_prefers_own = steward || !m_coordinator.is_large(),
+                                        .m_others = others}));
+}
+
 group_options gateway::options_for(const group_name& name) const {
     const auto service = m_configuration.m_services.find(name);
     const int connections = service == m_configuration.m_services.end()
@@ -259,6 +286,7 @@
         group->tick();
     }
     m_coordinator.tick();
+    m_relay.tick();
     if (!m_early_callers.empty()) {
         admit_early_callers();
     }
@@ -270,6 +298,7 @@
         return;
     }
     m_next_slow_tick = now + slow_tick;
+    order_store_paths();
     if (m_registry_dirty && now >= m_believe_absence_at) {
         apply_registry();
     }
@@ -293,11 +322,13 @@
         !m_coordinator.has_records() || !m_lease.holds(m_ports.m_clock.m_now())) {
         return false;
     }
+    // A group that is held elsewhere is served by handing its sessions on.
     return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& group) {
-        return std::any_of(
-            group.second->pools().begin(), group.second->pools().end(), [](const auto& pool) {
-                return pool.second->connections().idle() + pool.second->connections().busy() > 0;
-            });
+        const auto& pools = group.second->pools();
+        return !group.second->options().m_holds ||
+               std::any_of(pools.begin(), pools.end(), [](const auto& pool) {
+                   return pool.second->connections().idle() + pool.second->connections().busy() > 0;
+               });
     });
 }
 
--- /dev/null
+++ b/libs/gateway/src/store_questions.cpp
@@ -0,0 +1,137 @@
+/// \file store_questions.cpp
+#include "anvilmount/gateway/store_questions.hpp"
+
+#include "store.pb.h"
+
+namespace anvilmount::gateway {
+namespace {
+
+void write_row(const store_row& row, peer::store_row& out) {
+    out.set_table(row.m_table);
+    out.set_key(row.m_key);
+    out.set_value(row.m_value);
+    out.set_version(row.m_version);
+    out.set_removed(row.m_removed);
+}
+
+store_row read_row(const peer::store_row& row) {
+    return {.m_table = row.table(),
+            .m_key = row.key(),
+            .m_value = row.value(),
+            .m_version = row.version(),
+            .m_removed = row.removed()};
+}
+
+template <class Rows>
+std::vector<store_row> read_rows(const Rows& rows) {
+    std::vector<store_row> read;
+    read.reserve(static_cast<std::size_t>(rows.size()));
+    for (const peer::store_row& each : rows) {
+        read.push_back(read_row(each));
+    }
+    return read;
+}
+
+peer::store_reply::outcome outcome_of_status(store_status status) {
+    switch (status) {
+    case store_status::done:
+        return peer::store_reply::DONE;
+    case store_status::conflict:
+        return peer::store_reply::CONFLICT;
+    case store_status::unknown:
+        return peer::store_reply::UNKNOWN;
+    case store_status::history_gone:
+        return peer::store_reply::HISTORY_GONE;
+    case store_status::refused:
+        break;
+    }
+    return peer::store_reply::REFUSED;
+}
+
+store_status status_of_outcome(peer::store_reply::outcome outcome) {
+    switch (outcome) {
+    case peer::store_reply::DONE:
+        return store_status::done;
+    case peer::store_reply::CONFLICT:
+        return store_status::conflict;
+    case peer::store_reply::HISTORY_GONE:
+        return store_status::history_gone;
+    case peer::store_reply::REFUSED:
+        return store_status::refused;
+    default:
+        return store_status::unknown;
+    }
+}
+
+}
+
+std::string encode_question(const store_question& question) {
+    peer::store_question out;
+    if (const auto* read = std::get_if<read_question>(&question)) {
+        out.mutable_read()->set_table(read->m_table);
+    } else if (const auto* follow = std::get_if<follow_question>(&question)) {
+        out.mutable_follow()->set_table(follow->m_table);
+        out.mutable_follow()->set_after(follow->m_after);
+        out.mutable_follow()->set_wait_ms(static_cast<std::uint32_t>(follow->m_wait.count()));
+    } else {
+        const auto& change = std::get<store_change>(question);
+        peer::change_rows& rows = *out.mutable_change();
+        for (const store_row& each : change.m_expected) {
+            write_row(each, *rows.add_expected());
+        }
+        for (const store_row& each : change.m_writes) {
+            write_row(each, *rows.add_writes());
+        }
+        for (const store_row& each : change.m_removals) {
+            write_row(each, *rows.add_removals());
+        }
+        rows.set_may_wait_ms(static_cast<std::uint32_t>(change.m_may_wait.count()));
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<store_question> decode_question(const std::string& bytes) {
+    peer::store_question in;
+    if (!in.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    if (in.has_read()) {
+        return read_question{.m_table = in.read().table()};
+    }
+    if (in.has_follow()) {
+        return follow_question{.m_table = in.follow().table(),
+                               .m_after = in.follow().after(),
+                               .m_wait = milliseconds{in.follow().wait_ms()}};
+    }
+    if (in.has_change()) {
+        return store_change{.m_expected = read_rows(in.change().expected()),
+                            .m_writes = read_rows(in.change().writes()),
+                            .m_removals = read_rows(in.change().removals()),
+                            .m_may_wait = milliseconds{in.change().may_wait_ms()}};
+    }
+    return std::nullopt;
+}
+
+std::string encode_reply(const store_answer& reply) {
+    peer::store_reply out;
+    out.set_result(outcome_of_status(reply.m_status));
+    for (const store_row& each : reply.m_rows) {
+        write_row(each, *out.add_rows());
+    }
+    out.set_version(reply.m_version);
+    out.set_age_ms(static_cast<std::uint32_t>(reply.m_age.count()));
+    return out.SerializeAsString();
+}
+
+std::optional<store_answer> decode_reply(const std::string& bytes) {
+    peer::store_reply in;
+    if (!in.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    return store_answer{.m_status = status_of_outcome(in.result()),
+                        .m_rows = read_rows(in.rows()),
+                        .m_version = in.version(),
+                        .m_age = milliseconds{in.age_ms()}};
+}
+
+}
--- /dev/null
+++ b/libs/gateway/src/store_relay.cpp
@@ -0,0 +1,194 @@
+/// \file store_relay.cpp
+#include "anvilmount/gateway/store_relay.hpp"
+
+#include "anvilmount/observe/event_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace anvilmount::gateway {
+namespace {
+
+/// An instance that others ask follows the tables itself for this long after their last question.
+constexpr milliseconds acting_time{10000};
+
+/// The list of members is looked at by many; it may be this old.
+constexpr milliseconds cache_time{1000};
+
+/// The store takes at most 100 entries in one change, conditions among them.
+constexpr std::size_t most_batched = 80;
+
+bool same_conditions(const store_change& left, const store_change& right) {
+    return std::equal(left.m_expected.begin(), left.m_expected.end(), right.m_expected.begin(),
+                      right.m_expected.end(), [](const store_row& one, const store_row& other) {
+                          return one.m_table == other.m_table && one.m_key == other.m_key &&
+                                 one.m_version == other.m_version;
+                      });
+}
+
+bool writes_same_row(const store_change& left, const store_change& right) {
+    return std::any_of(left.m_writes.begin(), left.m_writes.end(), [&](const store_row& one) {
+        return std::any_of(right.m_writes.begin(), right.m_writes.end(), [&](const store_row& other) {
+            return one.m_table == other.m_table && one.m_key == other.m_key;
+        });
+    });
+}
+
+}
+
+store_relay::store_relay(const clock_port& clock, const store_port& own, store_access& access,
+                         metrics& counters)
+    : m_clock(clock), m_own(own), m_access(access), m_metrics(counters) {}
+
+void store_relay::share(const table_follower& copy) {
+    m_copies[copy.table()] = &copy;
+}
+
+const table_follower* store_relay::copy_of(const std::string& table) const {
+    const auto found = m_copies.find(table);
+    // A copy that is fed by others would let two instances feed each other.
+    const bool usable = found != m_copies.end() && found->second->is_loaded() &&
+                        !found->second->lost_since() && m_access.asks_itself(table);
+    return usable ? found->second : nullptr;
+}
+
+void store_relay::serve(const std::string& bytes, responder respond) {
+    const auto question = decode_question(bytes);
+    if (!question) {
+        log_event(log_level::warning, "relay.unreadable_question");
+        respond(std::nullopt);
+        return;
+    }
+    m_metrics.count("store_questions_served");
+    const store_callback done = [respond = std::move(respond)](const store_answer& reply) {
+        respond(encode_reply(reply));
+    };
+    if (m_access.own_fails()) {
+        done({.m_status = store_status::refused});
+        return;
+    }
+    m_access.prefer_own_until(m_clock.m_now() + acting_time);
+    if (const auto* wanted = std::get_if<read_question>(&*question)) {
+        read(*wanted, done);
+    } else if (const auto* followed = std::get_if<follow_question>(&*question)) {
+        follow(*followed, done);
+    } else {
+        change(std::get<store_change>(*question), done);
+    }
+}
+
+void store_relay::read(const read_question& question, const store_callback& done) {
+    if (const table_follower* copy = copy_of(question.m_table)) {
+        store_answer reply{.m_status = store_status::done, .m_version = copy->version()};
+        for (const auto& [key, row] : copy->rows()) {
+            reply.m_rows.push_back(row);
+        }
+        done(reply);
+        return;
+    }
+    const steady_time now = m_clock.m_now();
+    const auto cached = m_cached.find(question.m_table);
+    if (cached != m_cached.end() && now < cached->second.m_asked_at + cache_time) {
+        store_answer reply = cached->second.m_answer;
+        reply.m_age = std::chrono::duration_cast<milliseconds>(now - cached->second.m_asked_at);
+        done(reply);
+        return;
+    }
+    m_own.m_read_table(question.m_table,
+                       [this, now, table = question.m_table, done](const store_answer& reply) {
+                           const bool followed = m_copies.contains(table);
+                           if (reply.m_status == store_status::done && !followed) {
+                               m_cached[table] = {.m_asked_at = now, .m_answer = reply};
+                           }
+                           done(reply);
+                       });
+}
+
+std::optional<store_answer> store_relay::news(const table_follower& copy, const follow_question& question) {
+    if (copy.removed_at() > question.m_after) {
+        return store_answer{.m_status = store_status::history_gone};
+    }
+    store_answer reply{.m_status = store_status::done, .m_version = copy.version()};
+    for (const auto& [key, row] : copy.rows()) {
+        if (row.m_version > question.m_after) {
+            reply.m_rows.push_back(row);
+        }
+    }
+    return reply.m_rows.empty() ? std::nullopt : std::optional(std::move(reply));
+}
+
+void store_relay::follow(const follow_question& question, const store_callback& done) {
+    const table_follower* copy = copy_of(question.m_table);
+    if (copy == nullptr) {
+        m_own.m_feed(question.m_table, question.m_after, question.m_wait, done);
+        return;
+    }
+    if (const auto reply = news(*copy, question)) {
+        done(*reply);
+        return;
+    }
+    m_followers.push_back(
+        {.m_question = question, .m_until = m_clock.m_now() + question.m_wait, .m_done = done});
+}
+
+void store_relay::change(const store_change& question, const store_callback& done) {
+    const steady_time due = m_clock.m_now() + question.m_may_wait;
+    if (!question.m_removals.empty()) {
+        m_own.m_change(question, done);
+        return;
+    }
+    auto joined = std::find_if(m_batches.begin(), m_batches.end(), [&](const change_batch& each) {
+        return each.m_change.m_writes.size() < most_batched && same_conditions(each.m_change, question) &&
+               !writes_same_row(each.m_change, question);
+    });
+    if (joined == m_batches.end()) {
+        m_batches.push_back({.m_change = {.m_expected = question.m_expected}, .m_due = due});
+        joined = std::prev(m_batches.end());
+    }
+    std::copy(question.m_writes.begin(), question.m_writes.end(),
+              std::back_inserter(joined->m_change.m_writes));
+    joined->m_done.push_back(done);
+    joined->m_due = std::min(joined->m_due, due);
+    if (question.m_may_wait.count() == 0) {
+        change_batch full = std::move(*joined);
+        m_batches.erase(joined);
+        send(std::move(full));
+    }
+}
+
+void store_relay::send(change_batch batch) {
+    m_metrics.count("changes_made_for_others");
+    m_own.m_change(batch.m_change, [done = std::move(batch.m_done)](const store_answer& reply) {
+        for (const store_callback& each : done) {
+            each(reply);
+        }
+    });
+}
+
+void store_relay::tick() {
+    const steady_time now = m_clock.m_now();
+    for (auto each = m_batches.begin(); each != m_batches.end();) {
+        if (now < each->m_due) {
+            ++each;
+            continue;
+        }
+        change_batch due = std::move(*each);
+        each = m_batches.erase(each);
+        send(std::move(due));
+    }
+    std::list<waiting_follower> waiting = std::exchange(m_followers, {});
+    for (waiting_follower& each : waiting) {
+        const table_follower* copy = copy_of(each.m_question.m_table);
+        if (copy == nullptr) {
+            each.m_done({.m_status = store_status::refused});
+        } else if (const auto reply = news(*copy, each.m_question)) {
+            each.m_done(*reply);
+        } else if (now >= each.m_until) {
+            each.m_done({.m_status = store_status::done, .m_version = copy->version()});
+        } else {
+            m_followers.push_back(std::move(each));
+        }
+    }
+}
+
+}
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -97,6 +97,7 @@
     bool changed = whole && !m_loaded;
     if (whole) {
         changed = take_whole(reply) || changed;
+        m_removed_at = m_loaded ? m_removed_at : reply.m_version;
         m_loaded = true;
     } else {
         for (const store_row& row : reply.m_rows) {
@@ -120,6 +121,7 @@
         return false;
     }
     if (row.m_removed) {
+        m_removed_at = std::max(m_removed_at, row.m_version);
         return m_rows.erase(row.m_key) > 0;
     }
     m_rows[row.m_key] = row;
@@ -133,6 +135,7 @@
                                         [&](const store_row& row) { return row.m_key == each->first; });
         const bool removed = !listed && reply.m_version > each->second.m_version;
         changed = changed || removed;
+        m_removed_at = removed ? std::max(m_removed_at, reply.m_version) : m_removed_at;
         each = removed ? m_rows.erase(each) : std::next(each);
     }
     for (const store_row& row : reply.m_rows) {
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -125,6 +125,7 @@
     const int isolated = steward == 1 ? 2 : 1;
     // The isolated instance reaches the old primary but neither the store nor anyone else does.
     fleet.m_store.m_turned_away.insert("i" + std::to_string(isolated));
+    fleet.m_alone.insert("i" + std::to_string(isolated));
     for (int number = 1; number <= 3; ++number) {
         if (number != isolated) {
             fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
@@ -176,6 +177,7 @@
     const int steward = steward_of(fleet, 3);
     const int isolated = steward == 1 ? 2 : 1;
     fleet.m_store.m_turned_away.insert("i" + std::to_string(isolated));
+    fleet.m_alone.insert("i" + std::to_string(isolated));
     for (int number = 1; number <= 3; ++number) {
         fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
     }
@@ -183,6 +185,7 @@
     fleet.run_for(3000ms);
     fleet.m_upstreams.heal();
     fleet.m_store.m_turned_away.clear();
+    fleet.m_alone.clear();
     fleet.run_for(3000ms);
     touch_all(fleet, 3);
     BOOST_TEST(fleet.m_upstreams.m_promotions == 0);
--- /dev/null
+++ b/test/gateway/store_relay.cpp
@@ -0,0 +1,277 @@
+/// \file store_relay.cpp
+/// Instances that the store turns away, and large fleets, reach it through others.
+#include "support/gateway_fleet.hpp"
+
+#include "anvilmount/gateway/store_relay.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using kind = gateway::statement_kind;
+
+namespace {
+
+bool writes(test::gateway_fleet& fleet, int instance) {
+    test::test_caller caller(fleet.instance(instance), "pay");
+    caller.send(kind::write, "WRITE 1 a");
+    fleet.run_for(300ms);
+    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+}
+
+bool is_steward(test::gateway_fleet& fleet, int instance) {
+    return fleet.instance(instance).state_dump()["steward"].get<bool>();
+}
+
+/// Returns an instance that is not the steward.
+int bystander(test::gateway_fleet& fleet) {
+    return is_steward(fleet, 1) ? 2 : 1;
+}
+
+std::string name_of(int instance) {
+    return "i" + std::to_string(instance);
+}
+
+/// A relay on a fake store, asked directly.
+struct relay_alone {
+    test::manual_clock m_clock;
+    test::fake_store m_store{m_clock};
+    gateway::clock_port m_clock_port{m_clock.port()};
+    gateway::store_port m_own{m_store.port("relay")};
+    metrics m_metrics;
+    gateway::store_access m_access{m_clock_port, m_own, {}, m_metrics};
+    gateway::store_relay m_relay{m_clock_port, m_own, m_access, m_metrics};
+    gateway::table_follower m_copy{
+        {.m_table = "t", .m_wait = 2000ms}, m_clock_port, m_access.port(), [](const auto&) {}};
+    std::vector<gateway::store_answer> m_replies;
+
+    relay_alone() {
+        m_store.put("t", "a", "1");
+        m_relay.share(m_copy);
+        m_copy.start();
+        run_for(50ms);
+    }
+
+    void run_for(milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += 10ms) {
+            m_clock.run_for(10ms);
+            m_relay.tick();
+        }
+    }
+
+    void ask(const gateway::store_question& question) {
+        m_relay.serve(gateway::encode_question(question), [this](const std::optional<std::string>& bytes) {
+            BOOST_REQUIRE(bytes.has_value());
+            m_replies.push_back(gateway::decode_reply(*bytes).value());
+        });
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_the_store_turns_away_goes_on_through_others) {
+    test::gateway_fleet fleet(4);
+    const int turned_away = bystander(fleet);
+    fleet.m_store.m_turned_away = {name_of(turned_away)};
+    for (int second = 0; second < 25; ++second) {
+        fleet.run_for(700ms);
+        BOOST_TEST(writes(fleet, turned_away));
+        BOOST_TEST(fleet.instance(turned_away).is_ready());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_the_store_turns_away_agrees_to_a_change_of_primary_at_once) {
+    test::gateway_fleet fleet(4);
+    const int turned_away = bystander(fleet);
+    fleet.m_store.m_turned_away = {name_of(turned_away)};
+    fleet.run_for(3000ms);
+    fleet.m_upstreams.at("orders-1").m_entry.m_leaving = true;
+    fleet.publish_registry();
+    fleet.run_for(4000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+    BOOST_TEST(writes(fleet, turned_away));
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_cut_off_from_store_and_others_loses_its_lease) {
+    test::gateway_fleet fleet(4);
+    const int cut_off = bystander(fleet);
+    fleet.m_store.m_turned_away = {name_of(cut_off)};
+    fleet.m_alone = {name_of(cut_off)};
+    fleet.run_for(13000ms);
+    BOOST_TEST(!writes(fleet, cut_off));
+    BOOST_TEST(!fleet.instance(cut_off).is_ready());
+}
+
+BOOST_AUTO_TEST_CASE(followed_tables_stay_current_through_others) {
+    test::gateway_fleet fleet(4);
+    const int turned_away = bystander(fleet);
+    gateway::table_follower follower({.m_table = "op"}, fleet.m_clock_port,
+                                     fleet.instance(turned_away).store(), [](const auto&) {});
+    follower.start();
+    fleet.run_for(500ms);
+    fleet.m_store.m_turned_away = {name_of(turned_away)};
+    fleet.run_for(3000ms);
+    // As a heartbeat does that gets through again.
+    follower.refresh();
+    for (int change = 0; change < 5; ++change) {
+        fleet.m_store.put("op", "config", std::to_string(change));
+        fleet.run_for(2500ms);
+        BOOST_TEST(follower.rows().at("config").m_value == std::to_string(change));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_large_fleet_calls_the_store_seldom) {
+    constexpr int size = 40;
+    test::gateway_fleet fleet(size);
+    fleet.run_for(15000ms);
+    const int before = fleet.m_store.m_calls;
+    fleet.run_for(30000ms);
+    const int calls_a_second = (fleet.m_store.m_calls - before) / 30;
+    // Less than a quarter of a call for each instance.
+    BOOST_TEST(calls_a_second <= size / 4);
+    for (int number = 1; number <= size; ++number) {
+        BOOST_TEST(fleet.instance(number).is_ready());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_large_fleet_goes_on_when_those_that_ask_for_others_vanish) {
+    constexpr int size = 30;
+    test::gateway_fleet fleet(size);
+    fleet.run_for(15000ms);
+    // Each data centre loses a third of its instances, whoever asks among them.
+    for (int number = 1; number <= size; number += 3) {
+        fleet.lose_power(number);
+        fleet.lose_power(number + 1);
+    }
+    fleet.run_for(20000ms);
+    for (int number = 3; number <= size; number += 3) {
+        BOOST_TEST(fleet.instance(number).is_ready());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_of_the_whole_store_is_not_made_worse) {
+    test::gateway_fleet fleet(6);
+    fleet.run_for(5000ms);
+    fleet.m_store.m_turned_away = {"i1", "i2", "i3", "i4", "i5", "i6"};
+    fleet.run_for(2000ms);
+    const int before = fleet.m_store.m_calls;
+    fleet.run_for(10000ms);
+    // Records, members and heartbeats of each instance, tried about once a second.
+    BOOST_TEST(fleet.m_store.m_calls - before <= 6 * 10 * 5);
+    fleet.m_store.m_turned_away.clear();
+    fleet.run_for(3000ms);
+    for (int number = 1; number <= 6; ++number) {
+        BOOST_TEST(writes(fleet, number));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(questions_about_followed_tables_cost_no_call) {
+    relay_alone relay;
+    const int before = relay.m_store.m_calls;
+    for (int question = 0; question < 20; ++question) {
+        relay.ask(gateway::read_question{.m_table = "t"});
+    }
+    BOOST_TEST(relay.m_replies.size() == 20U);
+    BOOST_TEST(relay.m_replies.back().m_rows.size() == 1U);
+    relay.ask(gateway::follow_question{
+        .m_table = "t", .m_after = relay.m_replies.back().m_version, .m_wait = 1500ms});
+    relay.run_for(100ms);
+    BOOST_TEST(relay.m_store.m_calls == before);
+    BOOST_TEST(relay.m_replies.size() == 20U);
+    relay.m_store.put("t", "b", "2");
+    relay.run_for(100ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 21U);
+    BOOST_TEST(relay.m_replies.back().m_rows.at(0).m_key == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_follower_from_before_a_removal_reads_the_table_again) {
+    relay_alone relay;
+    const std::uint64_t before = relay.m_copy.version();
+    relay.m_store.remove("t", "a");
+    relay.run_for(100ms);
+    relay.ask(gateway::follow_question{.m_table = "t", .m_after = before, .m_wait = 1500ms});
+    BOOST_REQUIRE(relay.m_replies.size() == 1U);
+    BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::history_gone));
+}
+
+BOOST_AUTO_TEST_CASE(changes_under_the_same_conditions_are_made_together) {
+    relay_alone relay;
+    relay.m_store.put("m", "head", "");
+    const gateway::store_row head{.m_table = "m", .m_key = "head", .m_version = 2};
+    const int before = relay.m_store.m_calls;
+    for (int member = 0; member < 10; ++member) {
+        relay.ask(gateway::store_change{
+            .m_expected = {head},
+            .m_writes = {{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"}},
+            .m_may_wait = 1000ms});
+    }
+    relay.run_for(900ms);
+    BOOST_TEST(relay.m_replies.empty());
+    relay.run_for(200ms);
+    BOOST_TEST(relay.m_replies.size() == 10U);
+    BOOST_TEST(relay.m_store.m_calls - before <= 2);
+    BOOST_TEST(relay.m_store.value("m", "9") == "x");
+}
+
+BOOST_AUTO_TEST_CASE(each_of_a_batch_whose_conditions_fail_is_told_so) {
+    relay_alone relay;
+    relay.m_store.put("m", "head", "");
+    for (int member = 0; member < 3; ++member) {
+        relay.ask(gateway::store_change{
+            .m_expected = {{.m_table = "m", .m_key = "head", .m_version = 1}},
+            .m_writes = {{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"}},
+            .m_may_wait = 100ms});
+    }
+    relay.run_for(200ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 3U);
+    for (const gateway::store_answer& each : relay.m_replies) {
+        BOOST_TEST((each.m_status == gateway::store_status::conflict));
+        BOOST_TEST(each.m_rows.at(0).m_version == 2U);
+    }
+    BOOST_TEST(relay.m_store.value("m", "0").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_whose_own_way_fails_refuses_at_once) {
+    relay_alone relay;
+    relay.m_store.m_turned_away = {"relay"};
+    relay.run_for(4000ms);
+    const int before = relay.m_store.m_calls;
+    relay.ask(gateway::read_question{.m_table = "other"});
+    BOOST_REQUIRE(relay.m_replies.size() == 1U);
+    BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::refused));
+    BOOST_TEST(relay.m_store.m_calls == before);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_question_is_not_answered) {
+    relay_alone relay;
+    bool answered = true;
+    for (const char* bytes : {"", "\xff\xff\xff", "GET / HTTP/1.1"}) {
+        relay.m_relay.serve(bytes,
+                            [&](const std::optional<std::string>& reply) { answered = reply.has_value(); });
+        BOOST_TEST(!answered);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(questions_and_replies_survive_the_way) {
+    const gateway::store_change change{
+        .m_expected = {{.m_table = "t", .m_key = "k", .m_version = 7}},
+        .m_writes = {{.m_table = "t", .m_key = "k", .m_value = std::string("\0x", 2)}},
+        .m_removals = {{.m_table = "t", .m_key = "gone"}},
+        .m_may_wait = 20ms};
+    const auto decoded = gateway::decode_question(gateway::encode_question(change));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto& read = std::get<gateway::store_change>(*decoded);
+    BOOST_TEST(read.m_expected.at(0).m_version == 7U);
+    BOOST_TEST(read.m_writes.at(0).m_value == std::string("\0x", 2));
+    BOOST_TEST(read.m_removals.at(0).m_key == "gone");
+    BOOST_TEST((read.m_may_wait == 20ms));
+    for (const auto status :
+         {gateway::store_status::done, gateway::store_status::conflict, gateway::store_status::refused,
+          gateway::store_status::unknown, gateway::store_status::history_gone}) {
+        const auto reply = gateway::decode_reply(
+            gateway::encode_reply({.m_status = status, .m_version = 9, .m_age = 30ms}));
+        BOOST_REQUIRE(reply.has_value());
+        BOOST_TEST((reply->m_status == status));
+        BOOST_TEST((reply->m_age == 30ms));
+    }
+}
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -3,10 +3,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <utility>
+
 namespace anvilmount::test {
 namespace {
 
 constexpr milliseconds tick{10};
+constexpr milliseconds path{1};
 
 /// How long an upstream keeps the connections of an instance that lost power.
 constexpr milliseconds linger_time{3000};
@@ -81,6 +84,9 @@
     return {.m_clock = m_clock.port(),
             .m_connect = m_upstreams.connector(name),
             .m_store = m_store.port(name),
+            .m_ask_peer = [this,
+                           name](const endpoint& where, const std::string& question, milliseconds patience,
+                                 const auto& done) { ask_peer(name, where, question, patience, done); },
             .m_promote =
                 [this](const group_name&, const upstream_id& candidate, const std::string& holder,
                        std::uint64_t token, const std::function<void(gateway::promotion_result)>& done) {
@@ -111,7 +117,8 @@
             .m_name = name,
             .m_incarnation = std::to_string(++m_starts),
             .m_data_centre = {"dc" + std::to_string(1 + number % 3)},
-            .m_probe_address = {.m_address = "10.1.0.1", .m_port = static_cast<std::uint16_t>(number)}},
+            .m_probe_address = {.m_address = "10.1.0.1", .m_port = static_cast<std::uint16_t>(number)},
+            .m_store_relay = {.m_address = "10.1.0.2", .m_port = static_cast<std::uint16_t>(number)}},
         ports(name));
     made->start();
     made->adopt_configuration(m_configuration);
@@ -121,6 +128,31 @@
     m_instances[name] = std::move(made);
 }
 
+void gateway_fleet::ask_peer(const std::string& from, const endpoint& where, const std::string& question,
+                             milliseconds patience,
+                             const std::function<void(std::optional<std::string>)>& done) {
+    const std::string to = "i" + std::to_string(where.m_port);
+    const auto found = m_instances.find(to);
+    const bool cut = m_alone.contains(from) || m_alone.contains(to) || m_dark.contains(to);
+    if (cut || found == m_instances.end()) {
+        m_clock.after(cut ? patience : path, [done] { done(std::nullopt); });
+        return;
+    }
+    // The first of the two answers counts, as with a real timeout.
+    const auto open = std::make_shared<bool>(true);
+    const auto once = [open, done](const std::optional<std::string>& reply) {
+        if (std::exchange(*open, false)) {
+            done(reply);
+        }
+    };
+    m_clock.after(patience, [once] { once(std::nullopt); });
+    m_clock.after(path, [this, raw = found->second.get(), question, once] {
+        raw->serve_store_question(question, [this, once](const std::optional<std::string>& reply) {
+            m_clock.after(path, [once, reply] { once(reply); });
+        });
+    });
+}
+
 void gateway_fleet::end(const std::string& name) {
     auto found = m_instances.extract(name);
     m_dead.push_back(std::move(found.mapped()));
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -60,16 +60,20 @@
     void publish_registry();
 
     manual_clock m_clock;
+    gateway::clock_port m_clock_port{m_clock.port()};
     fake_store m_store{m_clock};
     fake_upstreams m_upstreams{m_clock};
     gateway::fleet_configuration m_configuration;
     std::map<std::uint64_t, std::string> m_token_holders; ///< Of promotions, by fencing token.
     bool m_loses_promotion_answers{false};
-    std::set<std::string> m_dark; ///< Instances whose addresses do not answer.
+    std::set<std::string> m_dark;  ///< Instances whose addresses do not answer.
+    std::set<std::string> m_alone; ///< Instances that neither reach others nor are reached by them.
 
 private:
     [[nodiscard]] gateway::gateway_ports ports(const std::string& name);
     void end(const std::string& name);
+    void ask_peer(const std::string& from, const endpoint& where, const std::string& question,
+                  milliseconds patience, const std::function<void(std::optional<std::string>)>& done);
 
     std::map<std::string, std::unique_ptr<gateway::gateway>> m_instances;
     std::vector<std::unique_ptr<gateway::gateway>> m_dead; ///< Deferred calls may still name them.
