Follow registrations and configuration through the data centre's instance

Cause: on grown Karoo each instance still followed registrations on its own (82 calls every 7 s, 1,306 at the start), and questions passed through to a feed disturbed the relay's own feed on the same connection.

--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -118,15 +118,16 @@
 }
 
 void store_relay::follow(const follow_question& question, const store_callback& done) {
-    const table_follower* copy = copy_of(question.m_table);
-    if (copy == nullptr) {
-        m_own.m_feed(question.m_table, question.m_after, question.m_wait, done);
+    if (!m_copies.contains(question.m_table)) {
+        done({.m_status = store_status::refused});
         return;
     }
-    if (const auto reply = news(*copy, question)) {
+    const table_follower* copy = copy_of(question.m_table);
+    if (const auto reply = copy == nullptr ? std::nullopt : news(*copy, question)) {
         done(*reply);
         return;
     }
+    // A copy that others feed is soon fed over this instance's own connections.
     m_followers.push_back(
         {.m_question = question, .m_until = m_clock.m_now() + question.m_wait, .m_done = done});
 }
@@ -179,14 +180,14 @@
     std::list<waiting_follower> waiting = std::exchange(m_followers, {});
     for (waiting_follower& each : waiting) {
         const table_follower* copy = copy_of(each.m_question.m_table);
-        if (copy == nullptr) {
-            each.m_done({.m_status = store_status::refused});
-        } else if (const auto reply = news(*copy, each.m_question)) {
+        if (const auto reply = copy == nullptr ? std::nullopt : news(*copy, each.m_question)) {
             each.m_done(*reply);
-        } else if (now >= each.m_until) {
-            each.m_done({.m_status = store_status::done, .m_version = copy->version()});
-        } else {
+        } else if (now < each.m_until) {
             m_followers.push_back(std::move(each));
+        } else if (copy == nullptr) {
+            each.m_done({.m_status = store_status::refused});
+        } else {
+            each.m_done({.m_status = store_status::done, .m_version = copy->version()});
         }
     }
 }
