Make first heartbeats together, one change at a time, and open no connection before the others are known

Change: the first heartbeat follows the first look at the members and goes through the data centre's instance, which has one change under way at a time and joins what comes meanwhile; only an instance whose turn it is bids for the stewardship; connections wait for the first look; a start is expected to take 300 ms. Holders are worked out at each look instead of five times a second.

--- a/libs/decisions/include/anvilmount/decisions/primary_gap.hpp
+++ b/libs/decisions/include/anvilmount/decisions/primary_gap.hpp
@@ -11,6 +11,7 @@
 namespace anvilmount {
 
 struct gap_expectation {
+    milliseconds m_first{300};  ///< From an instance's start until it may use the primary.
     milliseconds m_usual{1800}; ///< Noticing a dead primary, agreeing, and the promotion itself.
 };
 
@@ -30,6 +31,7 @@
 private:
     gap_expectation m_expectation;
     std::optional<steady_time> m_since; ///< Unset: the primary is usable.
+    bool m_was_usable{false};           ///< At some time before.
 };
 
 }
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -91,6 +91,9 @@
     /// Whether the fleet is so large that its calls of the store are to be few.
     [[nodiscard]] bool is_large() const;
 
+    /// Whether the members were looked at, or could not be, since the start.
+    [[nodiscard]] bool knows_members() const { return m_members_seen_at != steady_time{} || m_poll_failed; }
+
     /// When the members were last looked at.
     [[nodiscard]] steady_time members_seen_at() const { return m_members_seen_at; }
 
@@ -130,7 +133,8 @@
     void poll_members();
     void on_members(steady_time asked_at, const store_answer& reply);
     void take_member(const store_row& row);
-    [[nodiscard]] bool is_successor() const;
+    /// Returns how many live instances take the stewardship before this one.
+    [[nodiscard]] int rank_as_successor() const;
     [[nodiscard]] bool steward_is_gone();
     void consider_stewardship();
     void step_down();
@@ -162,10 +166,12 @@
     std::optional<member_record> m_reported; ///< As last stored.
     steady_time m_next_poll{};
     bool m_poll_under_way{false};
-    std::size_t m_polls{0}; ///< Of the first ones, which come sooner.
+    bool m_poll_failed{false}; ///< At least once.
+    std::size_t m_polls{0};    ///< Of the first ones, which come sooner.
     steward_record m_steward_record;
     std::uint64_t m_steward_version{0};
     steady_time m_steward_changed_at{};
+    std::optional<steady_time> m_steward_gone_since; ///< As noticed here.
     bool m_steward{false};
     bool m_steward_write_under_way{false};
     bool m_resigned{false};
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -80,12 +80,14 @@
     void note_registry_regained();
 
     /// Whether a session can be opened or refused now. An instance that has
-    /// just started learns the configuration within milliseconds.
-    [[nodiscard]] bool knows_databases() const { return m_configuration.m_revision > 0; }
+    /// just started learns the configuration and the members within milliseconds.
+    [[nodiscard]] bool can_open_sessions() const {
+        return m_configuration.m_revision > 0 && m_coordinator.knows_members();
+    }
     [[nodiscard]] std::uint64_t revision() const { return m_configuration.m_revision; }
 
-    /// Runs `work` once databases are known, or after as long as a caller waits for its session.
-    void when_databases_known(std::function<void()> work);
+    /// Runs `work` once sessions can be opened, or after as long as a caller waits for its session.
+    void when_sessions_can_open(std::function<void()> work);
 
     /// Whether a new session may begin here at all: a leaving instance that the
     /// balancer no longer knows may end at any moment.
@@ -129,7 +131,7 @@
     void apply_registry();
     void apply_groups();
     void tick_leaving();
-    void order_store_paths();
+    void look_at_members();
     [[nodiscard]] session_host host();
     [[nodiscard]] group_options options_for(const group_name& name) const;
 
@@ -138,8 +140,9 @@
     metrics m_metrics;
     store_access m_store;
     store_relay m_relay;
-    steady_time m_ordered_paths_at{}; ///< The members looked at then made the order of ways to the store.
-    bool m_ordered_as_steward{false};
+    steady_time m_members_of{};  ///< The look at the members that was last taken in, with...
+    bool m_was_steward{false};   ///< ...whether this instance was steward then,
+    bool m_members_known{false}; ///< and whether any look had been answered or refused.
     confirmation_lease m_lease;
     group_map m_groups;
     fleet_coordinator m_coordinator;
@@ -150,7 +153,6 @@
     bool m_registry_known{false};
     steady_time m_believe_absence_at{};
     bool m_registry_dirty{false};
-    int m_instances{1};
     std::map<std::uint64_t, std::shared_ptr<caller_session>> m_sessions;
     std::map<const caller_session*, std::uint64_t> m_session_numbers;
     std::map<std::uint64_t, relayed_caller> m_relayed;
--- a/libs/gateway/include/anvilmount/gateway/store_access.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_access.hpp
@@ -9,7 +9,8 @@
 #include "anvilmount/gateway/store_questions.hpp"
 #include "anvilmount/observe/metrics.hpp"
 
-#include <map>
+#include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,11 @@
     /// Ways to the store, the preferred one first.
     void set_order(std::vector<store_path> order) { m_choice.set_order(std::move(order)); }
 
+    using change_maker = std::function<void(const store_change&, const store_callback&)>;
+
+    /// Changes that may wait, and go this instance's own way, are given to `make`.
+    void make_changes_with_others(change_maker make) { m_change_with_others = std::move(make); }
+
     /// Goes its own way until `until`, also where another is preferred: others ask here.
     void prefer_own_until(steady_time until) { m_prefer_own_until = until; }
 
@@ -49,6 +55,7 @@
     peer_exchange m_ask;
     metrics& m_metrics;
     store_port m_port;
+    change_maker m_change_with_others;
     store_path_choice m_choice;
     steady_time m_prefer_own_until{};
     std::set<std::string> m_asked_itself; ///< Tables, see asks_itself().
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -58,7 +58,7 @@
     [[nodiscard]] static std::optional<store_answer> news(const table_follower& copy,
                                                           const follow_question& question);
     void change(const store_change& question, const store_callback& done);
-    void send(change_batch batch);
+    void send_due();
 
     const clock_port& m_clock;
     const store_port& m_own;
@@ -68,6 +68,7 @@
     std::map<std::string, cached_table> m_cached; ///< Tables without a copy.
     std::list<waiting_follower> m_followers;
     std::list<change_batch> m_batches;
+    bool m_change_under_way{false}; ///< One at a time.
 };
 
 }
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -28,6 +28,10 @@
 
 constexpr milliseconds heartbeat_retry{400};
 
+/// In a large fleet many may start at once, after a loss of power; their first
+/// heartbeats wait this long to be made together.
+constexpr milliseconds first_heartbeat_wait{120};
+
 /// After this many heartbeats missed, an instance no longer counts for shares of connections.
 constexpr int heartbeats_missed = 2;
 constexpr milliseconds heartbeat_delay{2000};
@@ -50,6 +54,9 @@
 /// Instances that look at the steward's row often, also in a large fleet.
 constexpr int successors = 4;
 
+/// A successor leaves those before it this long to take over: two changes of the store.
+constexpr milliseconds successor_turn{250};
+
 constexpr milliseconds probe_spacing{300};
 constexpr milliseconds status_spacing{40};
 
@@ -131,7 +138,8 @@
 }
 
 void fleet_coordinator::heartbeat(milliseconds may_wait) {
-    const bool knows_newest = m_records.is_loaded() && m_records.version() >= m_records_head;
+    const bool knows_newest =
+        knows_members() && m_records.is_loaded() && m_records.version() >= m_records_head;
     if (m_heartbeat_under_way || m_leaving || !knows_newest || (m_steward && m_steward_write_under_way)) {
         return;
     }
@@ -230,7 +238,7 @@
         return;
     }
     m_poll_under_way = true;
-    const bool watches = m_steward || is_successor();
+    const bool watches = m_steward || rank_as_successor() < successors;
     milliseconds pause = watches ? m_options.m_small_fleet.m_poll : pace().m_poll;
     if (m_polls < first_polls.size()) {
         pause = std::min(pause, first_polls.at(m_polls));
@@ -246,6 +254,7 @@
 
 void fleet_coordinator::on_members(steady_time asked_at, const store_answer& reply) {
     if (reply.m_status != store_status::done) {
+        m_poll_failed = true;
         return;
     }
     m_members_seen_at = std::max(m_members_seen_at, asked_at - reply.m_age);
@@ -301,13 +310,12 @@
     known.m_refused = false;
 }
 
-bool fleet_coordinator::is_successor() const {
+int fleet_coordinator::rank_as_successor() const {
     const auto weight = [](const std::string& name) { return stable_hash("steward " + name); };
     const std::uint64_t own = weight(m_options.m_name);
-    const auto before = std::count_if(m_members.begin(), m_members.end(), [&](const auto& each) {
+    return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& each) {
         return is_alive(each.second) && weight(each.second.m_record.m_name) > own;
-    });
-    return before < successors;
+    }));
 }
 
 bool fleet_coordinator::steward_is_gone() {
@@ -327,7 +335,15 @@
 }
 
 void fleet_coordinator::consider_stewardship() {
-    if (m_steward || m_resigned || m_steward_write_under_way || !steward_is_gone()) {
+    if (m_steward || m_resigned || m_steward_write_under_way || !m_heartbeat_done || !steward_is_gone()) {
+        m_steward_gone_since.reset();
+        return;
+    }
+    const steady_time now = m_ports.m_clock->m_now();
+    m_steward_gone_since = m_steward_gone_since.value_or(now);
+    const steady_time turn = *m_steward_gone_since + successor_turn * rank_as_successor();
+    if (now < turn) {
+        m_next_poll = std::min(m_next_poll, turn);
         return;
     }
     m_steward_write_under_way = true;
@@ -437,7 +453,8 @@
     if (spaced && has_news()) {
         heartbeat(milliseconds{0});
     } else if (now >= m_next_heartbeat) {
-        heartbeat(m_heartbeat_done ? pace().m_heartbeat_wait : milliseconds{0});
+        const milliseconds first_wait = is_large() ? first_heartbeat_wait : milliseconds{0};
+        heartbeat(m_heartbeat_done ? pace().m_heartbeat_wait : first_wait);
     }
     const bool switching = m_steward && std::any_of(m_groups.begin(), m_groups.end(), [](const auto& each) {
                                return each.second->record().m_stage == group_stage::switching ||
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -69,19 +69,22 @@
     m_coordinator.start();
 }
 
-void gateway::order_store_paths() {
+void gateway::look_at_members() {
     const steady_time seen = m_coordinator.members_seen_at();
     const bool steward = m_coordinator.is_steward();
-    if (seen == m_ordered_paths_at && steward == m_ordered_as_steward) {
+    const bool known = m_coordinator.knows_members();
+    if (seen == m_members_of && steward == m_was_steward && known == m_members_known) {
         return;
     }
-    m_ordered_paths_at = seen;
-    m_ordered_as_steward = steward;
+    m_members_of = seen;
+    m_was_steward = steward;
+    m_members_known = known;
     const std::vector<store_relay_candidate> others = m_coordinator.store_relays();
     m_store.set_order(store_path_order({.m_self = m_options.m_name,
                                         .m_data_centre = m_options.m_data_centre,
                                         .m_prefers_own = steward || !m_coordinator.is_large(),
                                         .m_others = others}));
+    apply_groups();
 }
 
 group_options gateway::options_for(const group_name& name) const {
@@ -94,9 +97,11 @@
             .m_data_centre = m_options.m_data_centre,
             .m_most_connections = connections,
             .m_instances = static_cast<int>(holders.size()),
-            .m_holds = std::any_of(holders.begin(), holders.end(), [&](const holder_candidate& each) {
-                return each.m_name == m_options.m_name;
-            })};
+            // Until the others are known a connection might take another instance's place.
+            .m_holds = m_coordinator.knows_members() &&
+                       std::any_of(holders.begin(), holders.end(), [&](const holder_candidate& each) {
+                           return each.m_name == m_options.m_name;
+                       })};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
@@ -189,7 +194,7 @@
             .m_metrics = &m_metrics};
 }
 
-void gateway::when_databases_known(std::function<void()> work) {
+void gateway::when_sessions_can_open(std::function<void()> work) {
     m_early_callers.push_back(
         {.m_until = m_ports.m_clock.m_now() + early_caller_patience, .m_work = std::move(work)});
 }
@@ -198,7 +203,7 @@
     const steady_time now = m_ports.m_clock.m_now();
     std::vector<early_caller> waiting = std::exchange(m_early_callers, {});
     for (early_caller& each : waiting) {
-        if (knows_databases() || now >= each.m_until) {
+        if (can_open_sessions() || now >= each.m_until) {
             each.m_work();
         } else {
             m_early_callers.push_back(std::move(each));
@@ -285,6 +290,7 @@
     for (const auto& [name, group] : m_groups) {
         group->tick();
     }
+    look_at_members();
     m_coordinator.tick();
     m_relay.tick();
     if (!m_early_callers.empty()) {
@@ -298,20 +304,9 @@
         return;
     }
     m_next_slow_tick = now + slow_tick;
-    order_store_paths();
     if (m_registry_dirty && now >= m_believe_absence_at) {
         apply_registry();
     }
-    const int instances = m_coordinator.live_instances();
-    const bool changed = std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& group) {
-        const group_options wanted = options_for(group.first);
-        return wanted.m_instances != group.second->options().m_instances ||
-               wanted.m_holds != group.second->options().m_holds;
-    });
-    m_instances = instances;
-    if (changed) {
-        apply_groups();
-    }
     for (const auto& [number, session] : m_sessions) {
         session->tick();
     }
@@ -406,7 +401,7 @@
             {"ready", is_ready()},
             {"steward", m_coordinator.is_steward()},
             {"lease_holds", m_lease.holds(now)},
-            {"instances", m_instances},
+            {"instances", m_coordinator.live_instances()},
             {"sessions", m_sessions.size()},
             {"revision", m_configuration.m_revision},
             {"groups", groups},
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -15,17 +15,20 @@
 /// Two passages between data centres and an answer of the store, several times over.
 constexpr milliseconds relay_patience{600};
 
+/// A slow store makes changes one after another, half a dozen in this time. Asking
+/// another way meanwhile would only lengthen its queue.
+constexpr milliseconds relayed_change_patience{1600};
+
 bool is_answer(store_status status) {
     return status != store_status::refused && status != store_status::unknown;
 }
 
-/// Returns how long the answer may take by design.
-milliseconds waiting_time(const store_question& question) {
+milliseconds patience_for(const store_question& question) {
     if (const auto* follow = std::get_if<follow_question>(&question)) {
-        return follow->m_wait;
+        return follow->m_wait + relay_patience;
     }
     const auto* change = std::get_if<store_change>(&question);
-    return change == nullptr ? milliseconds{0} : change->m_may_wait;
+    return change == nullptr ? relay_patience : change->m_may_wait + relayed_change_patience;
 }
 
 }
@@ -78,8 +81,10 @@
         m_own.m_read_table(read->m_table, done);
     } else if (const auto* follow = std::get_if<follow_question>(&question)) {
         m_own.m_feed(follow->m_table, follow->m_after, follow->m_wait, done);
+    } else if (const auto& change = std::get<store_change>(question); change.m_may_wait.count() > 0) {
+        m_change_with_others(change, done);
     } else {
-        m_own.m_change(std::get<store_change>(question), done);
+        m_own.m_change(change, done);
     }
 }
 
@@ -90,7 +95,7 @@
         follow->m_wait = std::min(follow->m_wait, longest_relayed_wait);
     }
     m_metrics.count("store_questions_relayed");
-    m_ask(relay, encode_question(sent), waiting_time(sent) + relay_patience,
+    m_ask(relay, encode_question(sent), patience_for(sent),
           [done](const std::optional<std::string>& bytes) {
               const auto reply = bytes ? decode_reply(*bytes) : std::nullopt;
               done(reply.value_or(store_answer{.m_status = store_status::unknown}));
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -38,7 +38,10 @@
 
 store_relay::store_relay(const clock_port& clock, const store_port& own, store_access& access,
                          metrics& counters)
-    : m_clock(clock), m_own(own), m_access(access), m_metrics(counters) {}
+    : m_clock(clock), m_own(own), m_access(access), m_metrics(counters) {
+    m_access.make_changes_with_others(
+        [this](const store_change& question, const store_callback& done) { change(question, done); });
+}
 
 void store_relay::share(const table_follower& copy) {
     m_copies[copy.table()] = &copy;
@@ -150,33 +153,36 @@
               std::back_inserter(joined->m_change.m_writes));
     joined->m_done.push_back(done);
     joined->m_due = std::min(joined->m_due, due);
-    if (question.m_may_wait.count() == 0) {
-        change_batch full = std::move(*joined);
-        m_batches.erase(joined);
-        send(std::move(full));
-    }
+    send_due();
 }
 
-void store_relay::send(change_batch batch) {
+void store_relay::send_due() {
+    if (m_change_under_way) {
+        // What comes meanwhile goes together with the next: a slow store makes few changes a second.
+        return;
+    }
+    const steady_time now = m_clock.m_now();
+    const auto due = std::find_if(m_batches.begin(), m_batches.end(),
+                                  [&](const change_batch& each) { return now >= each.m_due; });
+    if (due == m_batches.end()) {
+        return;
+    }
+    const change_batch batch = std::move(*due);
+    m_batches.erase(due);
+    m_change_under_way = true;
     m_metrics.count("changes_made_for_others");
-    m_own.m_change(batch.m_change, [done = std::move(batch.m_done)](const store_answer& reply) {
+    m_own.m_change(batch.m_change, [this, done = batch.m_done](const store_answer& reply) {
+        m_change_under_way = false;
         for (const store_callback& each : done) {
             each(reply);
         }
+        send_due();
     });
 }
 
 void store_relay::tick() {
     const steady_time now = m_clock.m_now();
-    for (auto each = m_batches.begin(); each != m_batches.end();) {
-        if (now < each->m_due) {
-            ++each;
-            continue;
-        }
-        change_batch due = std::move(*each);
-        each = m_batches.erase(each);
-        send(std::move(due));
-    }
+    send_due();
     std::list<waiting_follower> waiting = std::exchange(m_followers, {});
     for (waiting_follower& each : waiting) {
         const table_follower* copy = copy_of(each.m_question.m_table);
--- a/test/gateway/callers.cpp
+++ b/test/gateway/callers.cpp
@@ -430,9 +430,13 @@
                                  .m_read_status = test::fake_upstreams::read_status,
                                  .m_probe = {}};
     gateway::gateway late({.m_name = "late"}, std::move(ports));
-    BOOST_TEST(!late.knows_databases());
+    BOOST_TEST(!late.can_open_sessions());
     bool known = false;
-    late.when_databases_known([&] { known = late.knows_databases(); });
+    late.when_sessions_can_open([&] { known = late.can_open_sessions(); });
+    late.tick();
+    BOOST_TEST(!known);
+    late.start();
+    fleet.run_for(50ms);
     late.tick();
     BOOST_TEST(!known);
     late.adopt_configuration(fleet.m_configuration);
@@ -440,6 +444,19 @@
     BOOST_TEST(known);
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_come_before_the_other_instances_are_known_wait_for_that) {
+    test::gateway_fleet fleet(1);
+    fleet.m_store.m_away = true;
+    fleet.start(2);
+    bool known = false;
+    fleet.instance(2).when_sessions_can_open([&] { known = fleet.instance(2).can_open_sessions(); });
+    fleet.run_for(50ms);
+    BOOST_TEST(!known);
+    // The question is given up, and the instance serves what it can.
+    fleet.run_for(1500ms);
+    BOOST_TEST(known);
+}
+
 BOOST_AUTO_TEST_CASE(a_resting_transaction_gives_its_connection_back) {
     test::gateway_fleet fleet(1);
     fleet.m_configuration.m_revision = 2;
--- a/test/gateway/primary_gap.cpp
+++ b/test/gateway/primary_gap.cpp
@@ -15,6 +15,7 @@
 
 BOOST_AUTO_TEST_CASE(a_gap_lasts_as_usual_and_then_half_as_long_again) {
     primary_gap gap{{.m_usual = 1800ms}};
+    gap.note_usable(true, steady_time{9s});
     gap.note_usable(false, steady_time{10s});
     gap.note_usable(false, steady_time{11s});
     BOOST_TEST(gap.remaining(steady_time{10s})->count() == 1800);
@@ -29,3 +30,13 @@
     gap.note_usable(false, steady_time{30s});
     BOOST_TEST(gap.remaining(steady_time{30s})->count() == 1800);
 }
+
+BOOST_AUTO_TEST_CASE(an_instance_that_starts_expects_to_serve_soon) {
+    primary_gap gap{{.m_first = 300ms, .m_usual = 1800ms}};
+    gap.note_usable(false, steady_time{10s});
+    BOOST_TEST(gap.remaining(steady_time{10s})->count() == 300);
+    BOOST_TEST(gap.remaining(steady_time{12s})->count() == 1000);
+    gap.note_usable(true, steady_time{12s});
+    gap.note_usable(false, steady_time{13s});
+    BOOST_TEST(gap.remaining(steady_time{13s})->count() == 1800);
+}
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -156,6 +156,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_large_fleet_that_starts_anew_shares_its_first_heartbeats) {
+    constexpr int size = 40;
+    test::gateway_fleet fleet(size);
+    fleet.run_for(15000ms);
+    for (int number = 1; number <= size; ++number) {
+        fleet.lose_power(number);
+    }
+    fleet.run_for(500ms);
+    fleet.m_store.m_changes = 0;
+    for (int number = 1; number <= size; ++number) {
+        fleet.start(number);
+    }
+    fleet.run_for(1000ms);
+    for (int number = 1; number <= size; ++number) {
+        BOOST_TEST(fleet.instance(number).is_ready());
+    }
+    // A slow store makes some four changes a second.
+    BOOST_TEST(fleet.m_store.m_changes <= 12);
+}
+
 BOOST_AUTO_TEST_CASE(an_outage_of_the_whole_store_is_not_made_worse) {
     test::gateway_fleet fleet(6);
     fleet.run_for(5000ms);
@@ -220,6 +240,21 @@
     BOOST_TEST(relay.m_store.value("m", "9") == "x");
 }
 
+BOOST_AUTO_TEST_CASE(what_comes_while_a_change_is_under_way_goes_together_after_it) {
+    relay_alone relay;
+    relay.m_store.put("m", "head", "");
+    const gateway::store_row head{.m_table = "m", .m_key = "head", .m_version = 2};
+    const int before = relay.m_store.m_changes;
+    for (int member = 0; member < 10; ++member) {
+        relay.ask(gateway::store_change{
+            .m_expected = {head},
+            .m_writes = {{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"}}});
+    }
+    relay.run_for(50ms);
+    BOOST_TEST(relay.m_replies.size() == 10U);
+    BOOST_TEST(relay.m_store.m_changes - before == 2);
+}
+
 BOOST_AUTO_TEST_CASE(each_of_a_batch_whose_conditions_fail_is_told_so) {
     relay_alone relay;
     relay.m_store.put("m", "head", "");
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -95,6 +95,7 @@
         answer(done, std::move(conflict));
         return;
     }
+    ++m_changes;
     ++m_version;
     for (gateway::store_row row : what.m_writes) {
         row.m_version = m_version;
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -35,6 +35,7 @@
     std::size_t m_longest_feed{1000};        ///< Longer answers of a feed do not arrive in time.
     bool m_silent_feeds{false};              ///< They get no answer at all.
     int m_calls{0};
+    int m_changes{0}; ///< Calls that change something.
 
 private:
     using key_of_row = std::pair<std::string, std::string>;
