--- /dev/null
+++ b/test/gateway/store_contract.cpp
@@ -0,0 +1,212 @@
+/// \file store_contract.cpp
+/// The store client against a small stand-in of the metadata store over real
+/// sockets: what it asks, what it makes of each kind of answer, and the store's
+/// faults in a table.
+#include "http_channel.hpp"
+#include "store_client.hpp"
+
+#include "anvilmount/wire/tcp_listener.hpp"
+#include "anvilmount/wire/tcp_stream.hpp"
+
+#include <QByteArray>
+#include <QCoreApplication>
+#include <QEventLoop>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using gateway::store_answer;
+using gateway::store_status;
+
+namespace {
+
+std::string base64(const std::string& text) {
+    return QByteArray::fromStdString(text).toBase64().toStdString();
+}
+
+std::string row(const std::string& table, const std::string& key, const std::string& value, int version) {
+    return R"({"table":")" + table + R"(","part":"","key":")" + key + R"(","value":")" + base64(value) +
+           R"(","ver":)" + std::to_string(version) + "}";
+}
+
+std::string http_answer(int status, const std::string& body) {
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// Answers the first request that contains the text with the bytes; keeps what it was sent.
+struct stand_in {
+    struct rule {
+        std::string m_contains{};
+        std::string m_reply{}; ///< "close" closes, "silence" answers nothing.
+    };
+
+    int m_count{1};
+    std::string m_name{"test"};
+    char* m_arguments[2]{m_name.data(), nullptr};
+    QCoreApplication m_application{m_count, m_arguments};
+    reactor m_loop;
+    std::vector<rule> m_rules;
+    std::vector<std::string> m_requests;
+    std::vector<std::shared_ptr<tcp_stream>> m_streams;
+    std::unique_ptr<tcp_listener> m_listener;
+    std::unique_ptr<store_client> m_client;
+
+    explicit stand_in(int offset) {
+        const char* base = std::getenv("ANVILMOUNT_TEST_PORTS");
+        const int first = base == nullptr ? 20000 : std::stoi(base);
+        const endpoint where{.m_address = "127.0.0.1",
+                             .m_port = static_cast<std::uint16_t>(first + offset)};
+        auto made = tcp_listener::listen(m_loop, where, [this](int fd) { accept(fd); });
+        m_listener = std::move(made.value());
+        m_client = std::make_unique<store_client>(m_loop, where);
+    }
+
+    void accept(int fd) {
+        const std::size_t index = m_streams.size();
+        m_streams.push_back(tcp_stream::adopt(
+            m_loop, fd,
+            {.m_on_bytes = [this, index](std::string_view bytes) { answer(index, std::string(bytes)); },
+             .m_on_closed = [](close_reason) {}}));
+    }
+
+    void answer(std::size_t index, const std::string& request) {
+        m_requests.push_back(request);
+        const auto found = std::find_if(m_rules.begin(), m_rules.end(), [&](const rule& each) {
+            return request.find(each.m_contains) != std::string::npos;
+        });
+        if (found == m_rules.end() || found->m_reply == "silence") {
+            return;
+        }
+        if (found->m_reply == "close") {
+            m_streams[index]->close();
+        } else {
+            m_streams[index]->write(found->m_reply);
+        }
+    }
+
+    store_answer wait_for(const std::function<void(gateway::store_callback)>& ask) {
+        std::optional<store_answer> got;
+        ask([&](const store_answer& reply) { got = reply; });
+        while (!got) {
+            QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+        }
+        return *got;
+    }
+
+    store_answer read(const std::string& table) {
+        return wait_for(
+            [&](gateway::store_callback done) { m_client->port().m_read_table(table, std::move(done)); });
+    }
+
+    store_answer change(const gateway::store_change& what) {
+        return wait_for(
+            [&](gateway::store_callback done) { m_client->port().m_change(what, std::move(done)); });
+    }
+
+    store_answer feed(const std::string& table, std::uint64_t after, milliseconds wait) {
+        return wait_for([&](gateway::store_callback done) {
+            m_client->port().m_feed(table, after, wait, std::move(done));
+        });
+    }
+};
+
+const gateway::store_change some_change{.m_expected = {{.m_table = "t", .m_key = "k", .m_version = 4}},
+                                        .m_writes = {{.m_table = "t", .m_key = "k", .m_value = "new"}},
+                                        .m_removals = {{.m_table = "t", .m_key = "old"}}};
+
+}
+
+BOOST_AUTO_TEST_CASE(a_table_is_read_page_by_page) {
+    stand_in store(30);
+    store.m_rules = {{.m_contains = "&from=",
+                      .m_reply = http_answer(200, R"({"rows":[)" + row("t", "b", "2", 6) +
+                                                      R"(],"ver":9,"nowMs":1,"hasMore":false})")},
+                     {.m_contains = "rows-get?table=t",
+                      .m_reply = http_answer(200, R"({"rows":[)" + row("t", "a", "1", 5) +
+                                                      R"(],"ver":7,"nowMs":1,"hasMore":true})")}};
+    const store_answer got = store.read("t");
+    BOOST_TEST((got.m_status == store_status::done));
+    BOOST_REQUIRE(got.m_rows.size() == 2U);
+    BOOST_TEST(got.m_rows[1].m_value == "2");
+    // The feed goes on from the first page, so that no change between the pages is missed.
+    BOOST_TEST(got.m_version == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_that_is_refused_brings_the_rows_as_they_are) {
+    stand_in store(31);
+    store.m_rules = {{.m_contains = "rows-tx",
+                      .m_reply = http_answer(412, R"({"rows":[)" + row("t", "k", "now", 8) +
+                                                      R"(],"ver":12,"nowMs":1})")}};
+    const store_answer got = store.change(some_change);
+    BOOST_TEST((got.m_status == store_status::conflict));
+    BOOST_REQUIRE(got.m_rows.size() == 1U);
+    BOOST_TEST(got.m_rows[0].m_table == "t");
+    BOOST_TEST(got.m_rows[0].m_key == "k");
+    BOOST_TEST(got.m_rows[0].m_version == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_says_its_conditions_writes_and_removals) {
+    stand_in store(32);
+    store.m_rules = {{.m_contains = "rows-tx", .m_reply = http_answer(200, R"({"ver":13,"nowMs":1})")}};
+    const store_answer got = store.change(some_change);
+    BOOST_TEST((got.m_status == store_status::done));
+    BOOST_TEST(got.m_version == 13U);
+    const std::string& sent = store.m_requests.at(0);
+    BOOST_TEST(sent.starts_with("POST /anvilmount/rows-tx"));
+    BOOST_TEST(sent.find(R"("ver":4)") != std::string::npos);
+    BOOST_TEST(sent.find(base64("new")) != std::string::npos);
+    BOOST_TEST(sent.find(R"("remove":[{"key":"old")") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_feed_brings_changed_and_removed_rows) {
+    stand_in store(33);
+    store.m_rules = {
+        {.m_contains = "after=5&waitMs=2000",
+         .m_reply = http_answer(
+             200, R"({"rows":[)" + row("t", "a", "1", 6) +
+                      R"(,{"table":"t","part":"","key":"b","ver":7,"removed":true}],"ver":7})")}};
+    const store_answer got = store.feed("t", 5, 2000ms);
+    BOOST_REQUIRE(got.m_rows.size() == 2U);
+    BOOST_TEST(!got.m_rows[0].m_removed);
+    BOOST_TEST(got.m_rows[1].m_removed);
+}
+
+BOOST_AUTO_TEST_CASE(a_feed_that_is_asked_anew_forgets_the_one_under_way) {
+    stand_in store(34);
+    store.m_rules = {{.m_contains = "after=5&", .m_reply = "silence"},
+                     {.m_contains = "after=6&", .m_reply = http_answer(200, R"({"rows":[],"ver":8})")}};
+    bool first_answered = false;
+    store.m_client->port().m_feed("t", 5, 20000ms, [&](const store_answer&) { first_answered = true; });
+    BOOST_TEST(store.feed("t", 6, 20000ms).m_version == 8U);
+    BOOST_TEST(!first_answered);
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_the_store_are_told_apart) {
+    struct fault {
+        const char* m_what;
+        std::string m_reply;
+        store_status m_status;
+    };
+    const std::vector<fault> faults{
+        {"busy", http_answer(503, R"({"error":"busy"})"), store_status::refused},
+        {"too many calls", http_answer(429, R"({"error":"many"})"), store_status::refused},
+        {"not allowed", http_answer(403, "{}"), store_status::refused},
+        {"history gone", http_answer(410, "{}"), store_status::history_gone},
+        {"broken off", "close", store_status::unknown},
+        {"no JSON", http_answer(200, "what?"), store_status::unknown},
+        {"no version", http_answer(200, R"({"rows":[]})"), store_status::unknown},
+        {"a row without a key", http_answer(200, R"({"rows":[{"ver":1}],"ver":2})"), store_status::unknown},
+        {"no HTTP", "what?\r\n\r\n", store_status::unknown}};
+    stand_in store(35);
+    for (const fault& each : faults) {
+        BOOST_TEST_CONTEXT(each.m_what) {
+            store.m_rules = {{.m_contains = "", .m_reply = each.m_reply}};
+            BOOST_TEST((store.read("t").m_status == each.m_status));
+            BOOST_TEST((store.change(some_change).m_status == each.m_status));
+            BOOST_TEST((store.feed("t", 1, 100ms).m_status == each.m_status));
+        }
+    }
+}
