Shorten the lease to 10 s and send heartbeats more often

The lease was long for the sake of instances that the store turns away for 9 s, which now renew through others; outages of the whole store last up to 6.4 s. Change: lease 10 s; heartbeats every 1.5 s, in a large fleet every 3 s, there waiting up to 500 ms for those of others.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -28,7 +28,7 @@
 /// How often one instance calls the store for the fleet's sake. The calls of all
 /// instances add up, and each is paid for.
 struct fleet_pace {
-    milliseconds m_heartbeat{2000};
+    milliseconds m_heartbeat{1500};
     milliseconds m_poll{2000};        ///< Between two looks at the members.
     milliseconds m_heartbeat_wait{0}; ///< A heartbeat without news may wait this long for those of others.
 };
@@ -41,9 +41,9 @@
     endpoint m_store_relay{};
     data_centre m_data_centre{};
     fleet_pace m_small_fleet{};
-    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{4000},
+    fleet_pace m_large_fleet{.m_heartbeat = milliseconds{3000},
                              .m_poll = milliseconds{10000},
-                             .m_heartbeat_wait = milliseconds{1000}};
+                             .m_heartbeat_wait = milliseconds{500}};
 };
 
 struct coordinator_ports {
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -27,7 +27,7 @@
     endpoint m_relay_address{};
     endpoint m_store_relay{};        ///< Where it asks the store for others.
     std::vector<endpoint> m_seeds{}; ///< Where others may ask the store for it before any is known.
-    milliseconds m_lease{12000};
+    milliseconds m_lease{10000};
     std::size_t m_most_sessions{3000};
 };
 
