Move sessions off an instance that holds no connections of their group

Change: no connection is held before the members were looked at; at each look sessions of groups that are held elsewhere close once nothing is open, and their callers are handed on. Callers are refused at once when the store fails before the configuration is known. What was never read is asked for every 250 ms.

--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -63,6 +63,7 @@
     [[nodiscard]] bool is_idle() const { return !m_busy && m_waiting.empty() && !m_transaction; }
     /// Since when no statement is being served, though a transaction may be open; nothing while one is.
     [[nodiscard]] std::optional<steady_time> resting_since() const;
+    [[nodiscard]] const std::string& database() const { return m_database; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
 
 private:
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -91,8 +91,11 @@
     /// Whether the fleet is so large that its calls of the store are to be few.
     [[nodiscard]] bool is_large() const;
 
-    /// Whether the members were looked at, or could not be, since the start.
-    [[nodiscard]] bool knows_members() const { return m_members_seen_at != steady_time{} || m_poll_failed; }
+    /// Whether the members were looked at since the start.
+    [[nodiscard]] bool knows_members() const { return m_members_seen_at != steady_time{}; }
+
+    /// Whether a look failed: the store is away or turns this instance away.
+    [[nodiscard]] bool has_failed_to_look() const { return m_poll_failed; }
 
     /// When the members were last looked at.
     [[nodiscard]] steady_time members_seen_at() const { return m_members_seen_at; }
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -80,9 +80,11 @@
     void note_registry_regained();
 
     /// Whether a session can be opened or refused now. An instance that has
-    /// just started learns the configuration and the members within milliseconds.
+    /// just started learns the configuration and the members within milliseconds;
+    /// without the members it opens sessions, which serve once they are known.
     [[nodiscard]] bool can_open_sessions() const {
-        return m_configuration.m_revision > 0 && m_coordinator.knows_members();
+        return m_configuration.m_revision > 0 &&
+               (m_coordinator.knows_members() || m_coordinator.has_failed_to_look());
     }
     [[nodiscard]] std::uint64_t revision() const { return m_configuration.m_revision; }
 
@@ -132,6 +134,7 @@
     void apply_groups();
     void tick_leaving();
     void look_at_members();
+    void close_misplaced_sessions();
     [[nodiscard]] session_host host();
     [[nodiscard]] group_options options_for(const group_name& name) const;
 
@@ -140,9 +143,8 @@
     metrics m_metrics;
     store_access m_store;
     store_relay m_relay;
-    steady_time m_members_of{};  ///< The look at the members that was last taken in, with...
-    bool m_was_steward{false};   ///< ...whether this instance was steward then,
-    bool m_members_known{false}; ///< and whether any look had been answered or refused.
+    steady_time m_members_of{}; ///< The look at the members that was last taken in, with...
+    bool m_was_steward{false};  ///< ...whether this instance was steward then.
     confirmation_lease m_lease;
     group_map m_groups;
     fleet_coordinator m_coordinator;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -48,6 +48,8 @@
 
 constexpr milliseconds poll_while_switching{60};
 
+constexpr milliseconds first_look_retry{250};
+
 /// Looks at the members soon after the start, when many may have started together.
 constexpr std::array first_polls{milliseconds{300}, milliseconds{1200}, milliseconds{4000}};
 
@@ -255,6 +257,10 @@
 void fleet_coordinator::on_members(steady_time asked_at, const store_answer& reply) {
     if (reply.m_status != store_status::done) {
         m_poll_failed = true;
+        if (!knows_members()) {
+            // Nothing can be served before the first look.
+            m_next_poll = m_ports.m_clock->m_now() + first_look_retry;
+        }
         return;
     }
     m_members_seen_at = std::max(m_members_seen_at, asked_at - reply.m_age);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -72,19 +72,33 @@
 void gateway::look_at_members() {
     const steady_time seen = m_coordinator.members_seen_at();
     const bool steward = m_coordinator.is_steward();
-    const bool known = m_coordinator.knows_members();
-    if (seen == m_members_of && steward == m_was_steward && known == m_members_known) {
+    if (seen == m_members_of && steward == m_was_steward) {
         return;
     }
     m_members_of = seen;
     m_was_steward = steward;
-    m_members_known = known;
     const std::vector<store_relay_candidate> others = m_coordinator.store_relays();
     m_store.set_order(store_path_order({.m_self = m_options.m_name,
                                         .m_data_centre = m_options.m_data_centre,
                                         .m_prefers_own = steward || !m_coordinator.is_large(),
                                         .m_others = others}));
     apply_groups();
+    close_misplaced_sessions();
+}
+
+void gateway::close_misplaced_sessions() {
+    // Opened before the others were known, or before another instance took the
+    // group over: without connections of its own this one would serve them
+    // badly. Their callers come back and are handed on.
+    const auto sessions = m_sessions;
+    for (const auto& [number, session] : sessions) {
+        const auto route = m_configuration.m_routes.find(session->database());
+        const auto group =
+            route == m_configuration.m_routes.end() ? m_groups.end() : m_groups.find(route->second.m_group);
+        if (group != m_groups.end() && !group->second->options().m_holds) {
+            session->leave();
+        }
+    }
 }
 
 group_options gateway::options_for(const group_name& name) const {
@@ -203,7 +217,7 @@
     const steady_time now = m_ports.m_clock.m_now();
     std::vector<early_caller> waiting = std::exchange(m_early_callers, {});
     for (early_caller& each : waiting) {
-        if (can_open_sessions() || now >= each.m_until) {
+        if (can_open_sessions() || m_coordinator.has_failed_to_look() || now >= each.m_until) {
             each.m_work();
         } else {
             m_early_callers.push_back(std::move(each));
@@ -255,7 +269,7 @@
 
 result<std::shared_ptr<caller_session>> gateway::open_session(const std::string& database,
                                                               caller_session::outputs out) {
-    if (m_configuration.m_revision == 0) {
+    if (!can_open_sessions()) {
         return fail(result_code::upstream_unavailable, "not configured yet");
     }
     if (!m_configuration.m_routes.contains(database)) {
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds first_pause{100};
 constexpr milliseconds longest_pause{800};
 
+/// Before a table is known at all nothing can be served: its return must not be missed for long.
+constexpr milliseconds longest_first_pause{250};
+
 }
 
 table_follower::table_follower(options following, const clock_port& clock, const store_port& store,
@@ -60,7 +63,8 @@
 
 void table_follower::ask_later() {
     ++m_failures;
-    const milliseconds pause = std::min(longest_pause, first_pause * m_failures);
+    const milliseconds pause =
+        std::min(m_loaded ? longest_pause : longest_first_pause, first_pause * m_failures);
     // Whole: a feed brings each version since the last answer, which a narrow
     // link may not carry in time, the table only the newest.
     m_clock.m_after(pause, [this, question = m_question] {
--- a/test/gateway/table_follower.cpp
+++ b/test/gateway/table_follower.cpp
@@ -91,6 +91,21 @@
     BOOST_TEST(table.value("a") == "none");
 }
 
+BOOST_AUTO_TEST_CASE(a_table_that_was_never_read_is_asked_for_more_often) {
+    test::manual_clock clock;
+    test::fake_store store(clock);
+    store.put("t", "a", "1");
+    store.m_turned_away = {"i1"};
+    const gateway::clock_port clock_port = clock.port();
+    const gateway::store_port port = store.port("i1");
+    gateway::table_follower follower({.m_table = "t"}, clock_port, port, [](const auto&) {});
+    follower.start();
+    clock.run_for(5000ms);
+    store.m_turned_away.clear();
+    clock.run_for(300ms);
+    BOOST_TEST(follower.is_loaded());
+}
+
 BOOST_AUTO_TEST_CASE(a_long_series_of_changes_that_was_missed_does_not_keep_a_narrow_link_behind) {
     followed table;
     table.m_store.m_longest_feed = 20;
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -118,6 +118,7 @@
             .m_incarnation = std::to_string(++m_starts),
             .m_data_centre = {"dc" + std::to_string(1 + number % 3)},
             .m_probe_address = {.m_address = "10.1.0.1", .m_port = static_cast<std::uint16_t>(number)},
+            .m_relay_address = {.m_address = "10.1.0.3", .m_port = static_cast<std::uint16_t>(number)},
             .m_store_relay = {.m_address = "10.1.0.2", .m_port = static_cast<std::uint16_t>(number)}},
         ports(name));
     made->start();
