Satisfy the linter, and let one function say which reads replicas may serve

The session knows its number, so the gateway keeps no second map of them; run_alone and bind_then_run share allow_replicas. Behaviour is the same.

--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -63,6 +63,7 @@
     [[nodiscard]] bool is_idle() const { return !m_busy && m_waiting.empty() && !m_transaction; }
     /// Since when no statement is being served, though a transaction may be open; nothing while one is.
     [[nodiscard]] std::optional<steady_time> resting_since() const;
+    [[nodiscard]] std::uint64_t number() const { return m_number; }
     [[nodiscard]] const std::string& database() const { return m_database; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
 
@@ -105,6 +106,9 @@
     [[nodiscard]] bool writes(const statement& current) const;
     [[nodiscard]] bool knows_prepared(const statement& current);
     void fill(group_request& request, const statement& current, const database_route& route);
+    /// Lets a replica serve a read, where the route allows it.
+    void allow_replicas(group_request& request, const database_route& route,
+                        const group_service& group) const;
     void note_commit(const group_reply& reply);
     [[nodiscard]] std::optional<log_position> session_floor(const group_service& group) const;
     void complete();
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -156,7 +156,6 @@
     steady_time m_believe_absence_at{};
     bool m_registry_dirty{false};
     std::map<std::uint64_t, std::shared_ptr<caller_session>> m_sessions;
-    std::map<const caller_session*, std::uint64_t> m_session_numbers;
     std::map<std::uint64_t, relayed_caller> m_relayed;
     std::map<endpoint, steady_time> m_no_relay_before; ///< Instances that did not take a session.
     std::uint64_t m_next_session{1};
--- a/libs/gateway/include/anvilmount/gateway/store_access.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_access.hpp
@@ -20,6 +20,7 @@
 public:
     /// `own` asks over this instance's connections, `ask` puts a question to another instance.
     store_access(const clock_port& clock, const store_port& own, peer_exchange ask, metrics& counters);
+    ~store_access() = default;
     store_access(const store_access&) = delete;
     store_access& operator=(const store_access&) = delete;
 
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -22,6 +22,7 @@
 
     /// `own` asks over this instance's connections: a question is never passed on twice.
     store_relay(const clock_port& clock, const store_port& own, store_access& access, metrics& counters);
+    ~store_relay() = default;
     store_relay(const store_relay&) = delete;
     store_relay& operator=(const store_relay&) = delete;
 
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -270,6 +270,16 @@
     return group.freshness().in_current_term(m_floor, m_floor_term);
 }
 
+void caller_session::allow_replicas(group_request& request, const database_route& route,
+                                    const group_service& group) const {
+    if (route.m_consistency == consistency::every_commit) {
+        return;
+    }
+    request.m_need = placement_need::fresh_enough;
+    request.m_max_age = route.m_class.m_max_staleness;
+    request.m_session_floor = session_floor(group);
+}
+
 void caller_session::run_alone(const statement& current, bool writes) {
     const database_route* route = m_host.m_route(m_database);
     group_service* group = route == nullptr ? nullptr : m_host.m_group(route->m_group);
@@ -281,10 +291,8 @@
     fill(request, current, *route);
     request.m_repeatable = !writes;
     request.m_acknowledges_write = writes;
-    if (!writes && route->m_consistency != consistency::every_commit) {
-        request.m_need = placement_need::fresh_enough;
-        request.m_max_age = route->m_class.m_max_staleness;
-        request.m_session_floor = session_floor(*group);
+    if (!writes) {
+        allow_replicas(request, *route, *group);
     }
     group->submit(std::move(request), [self = shared_from_this(), writes](group_reply reply) {
         self->on_alone_answer(writes, std::move(reply));
@@ -344,10 +352,8 @@
     request.m_prepare.reset();
     request.m_statement = {.m_kind = m_transaction->m_read_only ? outgoing_statement::kind::begin_read_only
                                                                 : outgoing_statement::kind::begin};
-    if (m_transaction->m_read_only && route.m_consistency != consistency::every_commit) {
-        request.m_need = placement_need::fresh_enough;
-        request.m_max_age = route.m_class.m_max_staleness;
-        request.m_session_floor = session_floor(*group);
+    if (m_transaction->m_read_only) {
+        allow_replicas(request, route, *group);
     }
     group->submit(std::move(request), [self = shared_from_this(), current](const group_reply& reply) {
         self->on_bound(current, reply);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -287,17 +287,12 @@
         session->leave_after_next();
     }
     m_sessions.emplace(number, session);
-    m_session_numbers.emplace(session.get(), number);
     m_metrics.count("sessions_opened");
     return session;
 }
 
 void gateway::forget_session(const std::shared_ptr<caller_session>& session) {
-    const auto found = m_session_numbers.find(session.get());
-    if (found != m_session_numbers.end()) {
-        m_sessions.erase(found->second);
-        m_session_numbers.erase(found);
-    }
+    m_sessions.erase(session->number());
 }
 
 void gateway::tick() {
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -36,13 +36,15 @@
 store_access::store_access(const clock_port& clock, const store_port& own, peer_exchange ask,
                            metrics& counters)
     : m_clock(clock), m_own(own), m_ask(std::move(ask)), m_metrics(counters),
-      m_port{.m_read_table = [this](const std::string& table,
-                                    store_callback done) { this->ask(read_question{table}, table, done); },
+      m_port{.m_read_table =
+                 [this](const std::string& table, const store_callback& done) {
+                     this->ask(read_question{table}, table, done);
+                 },
              .m_change = [this](const store_change& what,
-                                store_callback done) { this->ask(what, std::string{}, done); },
+                                const store_callback& done) { this->ask(what, std::string{}, done); },
              .m_feed =
                  [this](const std::string& table, std::uint64_t version, milliseconds wait,
-                        store_callback done) {
+                        const store_callback& done) {
                      this->ask(follow_question{.m_table = table, .m_after = version, .m_wait = wait}, table,
                                done);
                  }} {}
