Ignore another instance's look at the members that is older than the last one here

Found on reading the change again: a relay answers looks from a copy up to 1 s old, and the time of the last look only rose, but the members were taken from the older copy. One that registered in between was dropped, so that a steward that the store had just turned away could have counted all members as agreed without it. Change: such a look is ignored. The test fails on the code before (3 members of 4).

--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -263,7 +263,12 @@
         }
         return;
     }
-    m_members_seen_at = std::max(m_members_seen_at, asked_at - reply.m_age);
+    const steady_time as_of = asked_at - reply.m_age;
+    if (as_of < m_members_seen_at) {
+        // Another instance's look from before the last one here: whoever registered since is not in it.
+        return;
+    }
+    m_members_seen_at = as_of;
     bool steward_row = false;
     std::map<std::string, member> kept;
     for (const store_row& row : reply.m_rows) {
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -102,6 +102,18 @@
     BOOST_TEST(!fleet.instance(cut_off).is_ready());
 }
 
+BOOST_AUTO_TEST_CASE(an_older_look_of_another_instance_hides_no_member) {
+    test::gateway_fleet fleet(3);
+    const auto instances = [&] { return fleet.instance(1).state_dump()["instances"].get<int>(); };
+    const auto before = fleet.m_store.look_of("i1", "anvilmount_members");
+    fleet.start(4);
+    fleet.run_for(2500ms);
+    BOOST_TEST(instances() == 4);
+    fleet.m_store.m_kept_look = before;
+    fleet.run_for(2500ms);
+    BOOST_TEST(instances() == 4);
+}
+
 BOOST_AUTO_TEST_CASE(followed_tables_stay_current_through_others) {
     test::gateway_fleet fleet(4);
     const int turned_away = bystander(fleet);
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -9,6 +9,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -34,6 +35,14 @@
     std::set<std::string> m_slow_heartbeats; ///< These clients' heartbeats are answered late.
     std::size_t m_longest_feed{1000};        ///< Longer answers of a feed do not arrive in time.
     bool m_silent_feeds{false};              ///< They get no answer at all.
+    /// This client is answered from an earlier look, as by another instance that has kept it.
+    struct kept_look {
+        std::string m_client{};
+        steady_time m_taken_at{};
+        gateway::store_answer m_answer{};
+    };
+    [[nodiscard]] kept_look look_of(const std::string& client, const std::string& table) const;
+    std::optional<kept_look> m_kept_look;
     int m_calls{0};
     int m_changes{0}; ///< Calls that change something.
 
