Walk through a relay's rows only when one is newer than what a follower has

Each tick asked every waiting follower's question by a walk through all rows: with 88 members and 450 groups a relay would look at some 8 million rows a second. The copy now knows its newest row. Answers are the same.

--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -36,6 +36,8 @@
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
     /// Up to which version of the store the copy is current.
     [[nodiscard]] std::uint64_t version() const { return m_version; }
+    /// Version of the newest row taken in.
+    [[nodiscard]] std::uint64_t newest_row() const { return m_newest_row; }
     /// Up to which version rows that are gone by now may have been there.
     [[nodiscard]] std::uint64_t removed_at() const { return m_removed_at; }
     [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_rows; }
@@ -60,6 +62,7 @@
     std::map<std::string, store_row> m_rows; ///< Key: row key.
     std::uint64_t m_version{0};              ///< Up to which m_rows is current.
     std::uint64_t m_removed_at{0};
+    std::uint64_t m_newest_row{0};
     bool m_loaded{false};
     bool m_reads_whole{false};
     std::uint64_t m_question{0}; ///< Number of the newest; answers to others are ignored.
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -111,6 +111,10 @@
     if (copy.removed_at() > question.m_after) {
         return store_answer{.m_status = store_status::history_gone};
     }
+    if (copy.newest_row() <= question.m_after) {
+        // Asked for every waiting follower at each tick: no walk through the rows.
+        return std::nullopt;
+    }
     store_answer reply{.m_status = store_status::done, .m_version = copy.version()};
     for (const auto& [key, row] : copy.rows()) {
         if (row.m_version > question.m_after) {
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -129,6 +129,7 @@
         return m_rows.erase(row.m_key) > 0;
     }
     m_rows[row.m_key] = row;
+    m_newest_row = std::max(m_newest_row, row.m_version);
     return true;
 }
 
