Stop the shards' events before an instance is destroyed

Ruled out: a time-out of the test (it took 1.4 s of 30). Change: reactor::stop() ends timers, descriptors and deferred work; ~instance calls it for every shard first. Posted work wakes the loop under the mailbox's lock, as the work may be what ends the loop. A test's child process reports the signal that ended it.

--- a/libs/node/src/instance.cpp
+++ b/libs/node/src/instance.cpp
@@ -317,8 +317,12 @@
 instance::instance(reactor& loop, instance_options options)
     : m_parts(std::make_unique<parts>(loop, std::move(options))) {}
 
+/// The shards' events end first: what they would call goes away in several steps.
 instance::~instance() {
     parts& all = *m_parts;
+    for (const auto& each : all.m_shards) {
+        each->ask([&] { each->loop().stop(); });
+    }
     for (std::size_t index = 0; index < all.m_shards.size(); ++index) {
         all.m_shards[index]->ask([&] {
             all.m_fronts[index].reset();
--- a/libs/wire/include/anvilmount/wire/reactor.hpp
+++ b/libs/wire/include/anvilmount/wire/reactor.hpp
@@ -60,6 +60,10 @@
     timer_id after(microseconds delay, task work);
     void cancel(const timer_id& timer);
 
+    /// Ends timers, descriptors and deferred work for good; only posted work runs
+    /// from now on. What they would call may then be destroyed piece by piece.
+    void stop();
+
     [[nodiscard]] static steady_time now() { return std::chrono::steady_clock::now(); }
 
     [[nodiscard]] stream_traffic& traffic() { return m_traffic; }
@@ -87,6 +91,7 @@
     std::uint64_t m_next_timer{1};
     std::vector<task> m_deferred;
     bool m_dispatching{false};
+    bool m_stopped{false}; ///< Once set, m_timers and m_deferred stay empty.
     stream_traffic m_traffic;
 
     std::mutex m_mailbox_lock;
--- a/libs/wire/src/reactor.cpp
+++ b/libs/wire/src/reactor.cpp
@@ -70,13 +70,11 @@
 }
 
 void reactor::post(task work) {
-    bool first = false;
-    {
-        const std::lock_guard guard(m_mailbox_lock);
-        first = m_mailbox.empty();
-        m_mailbox.push_back(std::move(work));
-    }
-    if (first) {
+    // Woken under the lock: the work may be what ends this reactor, which must
+    // not happen between the two.
+    const std::lock_guard guard(m_mailbox_lock);
+    m_mailbox.push_back(std::move(work));
+    if (m_mailbox.size() == 1) {
         wake();
     }
 }
@@ -87,6 +85,9 @@
 }
 
 void reactor::defer(task work) {
+    if (m_stopped) {
+        return;
+    }
     m_deferred.push_back(std::move(work));
     if (!m_dispatching) {
         wake();
@@ -95,6 +96,9 @@
 
 reactor::timer_id reactor::after(microseconds delay, task work) {
     const timer_id id{.m_at = now() + delay, .m_number = m_next_timer++};
+    if (m_stopped) {
+        return id;
+    }
     m_timers.emplace(id, std::move(work));
     if (m_timers.begin()->first == id) {
         arm_timer();
@@ -106,6 +110,14 @@
     m_timers.erase(timer);
 }
 
+void reactor::stop() {
+    m_stopped = true;
+    m_timer->stop();
+    // What the work holds may cancel timers of its own as it is destroyed.
+    const auto timers = std::exchange(m_timers, {});
+    const auto deferred = std::exchange(m_deferred, {});
+}
+
 void reactor::arm_timer() {
     if (m_timers.empty()) {
         return;
@@ -134,6 +146,9 @@
         const epoll_event& event = events[static_cast<std::size_t>(index)];
         const auto fd = static_cast<std::uint32_t>(event.data.u64);
         const watched& target = m_watched[fd];
+        if (m_stopped && fd != static_cast<std::uint32_t>(m_wake)) {
+            continue;
+        }
         // A descriptor forgotten earlier in this round, or reused since, is not called.
         if (target.m_handler && target.m_generation == event.data.u64 >> generation_shift) {
             const std::shared_ptr<ready_handler> handler = target.m_handler;
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -24,6 +24,9 @@
 
 using namespace std::chrono_literals;
 
+/// Added to the signal that ended a process, as shells do.
+constexpr int ended_by_signal = 128;
+
 constexpr int ports_per_fleet = 200;
 constexpr int first_port = 10000;
 constexpr int fleet_blocks = 100;
@@ -108,7 +111,7 @@
         return -1;
     }
     m_id = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : ended_by_signal + WTERMSIG(status);
 }
 
 finished_program run_program(const std::string& path, const std::vector<std::string>& arguments,
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -26,7 +26,7 @@
     void signal(int number) const;
     void kill_now();
 
-    /// Waits for the end and returns the exit code; -1 after 30 s or a signal.
+    /// Waits for the end and returns the exit code; -1 after 30 s, 128 and the signal that ended it.
     int wait();
 
     [[nodiscard]] pid_t id() const { return m_id; }
