Add a fault soak: real gateways on loopback, promises checked from both ends

Cause: the promises were checked in virtual time and under the bench only. A test's child process no longer signals a process number that may be another's. The ledger's own test plays each kind of broken promise once.

--- /dev/null
+++ b/standins/line_platform/row_store.cpp
@@ -0,0 +1,304 @@
+/// \file row_store.cpp
+#include "line_platform/row_store.hpp"
+
+#include <QByteArray>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace standin {
+namespace {
+
+using namespace anvilmount;
+using nlohmann::json;
+namespace beast = boost::beast::http;
+
+constexpr milliseconds answer_time{4};
+constexpr milliseconds feed_period{20};
+constexpr std::size_t longest_history = 4000;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_forbidden = 403;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_condition_failed = 412;
+constexpr int status_unavailable = 503;
+
+std::string base64(const std::string& text) {
+    return QByteArray::fromStdString(text).toBase64().toStdString();
+}
+
+std::uint64_t number(const std::map<std::string, std::string>& fields, const std::string& name) {
+    const auto found = fields.find(name);
+    return found == fields.end() || found->second.empty() ? 0 : std::stoull(found->second);
+}
+
+}
+
+struct row_store::connection {
+    std::shared_ptr<tcp_stream> m_stream;
+    std::unique_ptr<beast::request_parser<beast::string_body>> m_parser;
+    std::string m_unread;
+
+    void renew() {
+        m_parser = std::make_unique<beast::request_parser<beast::string_body>>();
+        m_parser->eager(true);
+    }
+};
+
+result<void> row_store::listen(const endpoint& where) {
+    BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, where, [this](int fd) { accept(fd); }));
+    tick();
+    return {};
+}
+
+void row_store::accept(int fd) {
+    const auto made = std::make_shared<connection>();
+    made->renew();
+    const std::weak_ptr<connection> weak = made;
+    const auto on_bytes = [this, weak](std::string_view bytes) {
+        const auto open = weak.lock();
+        if (!open) {
+            return;
+        }
+        open->m_unread.append(bytes);
+        while (!open->m_unread.empty()) {
+            boost::system::error_code error;
+            const std::size_t used = open->m_parser->put(boost::asio::buffer(open->m_unread), error);
+            open->m_unread.erase(0, used);
+            if (error || !open->m_parser->is_done()) {
+                return;
+            }
+            const auto message = open->m_parser->release();
+            open->renew();
+            std::map<std::string, std::string> headers;
+            for (const auto& each : message) {
+                headers[std::string(each.name_string())] = std::string(each.value());
+            }
+            serve(open, std::string(message.method_string()), std::string(message.target()), headers,
+                  message.body());
+        }
+    };
+    made->m_stream =
+        tcp_stream::adopt(m_loop, fd, {.m_on_bytes = on_bytes, .m_on_closed = [this, weak](close_reason) {
+                                           m_loop.defer([this, weak] {
+                                               if (const auto open = weak.lock()) {
+                                                   m_connections.erase(open);
+                                               }
+                                           });
+                                       }});
+    m_connections.insert(made);
+}
+
+void row_store::serve(const connection_ptr& on, const std::string& method, const std::string& target,
+                      const std::map<std::string, std::string>& headers, const std::string& body) {
+    if (m_faults.m_silent) {
+        return;
+    }
+    m_loop.after(answer_time * m_faults.m_slowness, [this, on, method, target, headers, body] {
+        if (m_faults.m_silent) {
+            return;
+        }
+        if (m_faults.m_refuses) {
+            send(on, {.m_status = status_unavailable, .m_body = {{"error", "unavailable"}}});
+            return;
+        }
+        const QUrl url(QString::fromStdString(target));
+        std::map<std::string, std::string> query;
+        for (const auto& [name, value] : QUrlQuery(url).queryItems(QUrl::FullyDecoded)) {
+            query[name.toStdString()] = value.toStdString();
+        }
+        const std::string path = url.path().toStdString();
+        if (path == "/anvilmount/rows-get") {
+            send(on, read_rows(query));
+        } else if (path == "/anvilmount/rows-tx") {
+            const reply made = change_rows(body);
+            std::bernoulli_distribution loses(m_faults.m_lost);
+            if (loses(m_random)) {
+                on->m_stream->close();
+                return;
+            }
+            send(on, made);
+        } else if (path == "/anvilmount/rows-feed") {
+            m_feeds.push_back(
+                {.m_on = on,
+                 .m_table = query["table"],
+                 .m_after = number(query, "after"),
+                 .m_until = reactor::now() + milliseconds{static_cast<long>(number(query, "waitMs"))}});
+            answer_feeds();
+        } else if (path == "/promote" && method == "POST") {
+            send(on, promote(headers, body));
+        } else {
+            send(on, {.m_status = status_not_found, .m_body = json::object()});
+        }
+    });
+}
+
+void row_store::send(const connection_ptr& on, const reply& what) {
+    const std::string body = what.m_body.dump();
+    on->m_stream->write("HTTP/1.1 " + std::to_string(what.m_status) +
+                        " Standin\r\nContent-Type: application/json\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+json row_store::encode(const row_key& key) const {
+    json made{{"table", key.first}, {"part", ""}, {"key", key.second}};
+    const auto found = m_rows.find(key);
+    if (found != m_rows.end()) {
+        made["value"] = found->second.m_value;
+        made["ver"] = found->second.m_version;
+    }
+    return made;
+}
+
+row_store::reply row_store::read_rows(const std::map<std::string, std::string>& query) const {
+    json rows = json::array();
+    const std::string table = query.at("table");
+    const auto from = query.find("from");
+    const std::uint64_t limit = number(query, "limit");
+    bool more = false;
+    for (auto each = m_rows.lower_bound({table, from == query.end() ? std::string{} : from->second});
+         each != m_rows.end() && each->first.first == table; ++each) {
+        if (limit > 0 && rows.size() >= limit) {
+            more = true;
+            break;
+        }
+        rows.push_back(encode(each->first));
+    }
+    return {.m_status = status_ok, .m_body = {{"rows", rows}, {"ver", m_version}, {"hasMore", more}}};
+}
+
+row_store::reply row_store::change_rows(const std::string& body) {
+    const json asked = json::parse(body, nullptr, false);
+    if (!asked.is_object()) {
+        return {.m_status = status_bad_request, .m_body = json::object()};
+    }
+    json current = json::array();
+    bool holds = true;
+    for (const json& each : asked.value("expectedRevision", json::array())) {
+        const row_key key{each.at("table"), each.at("key")};
+        const auto found = m_rows.find(key);
+        const std::uint64_t version = found == m_rows.end() ? 0 : found->second.m_version;
+        holds = holds && version == each.at("ver").get<std::uint64_t>();
+        if (found != m_rows.end()) {
+            current.push_back(encode(key));
+        }
+    }
+    if (!holds) {
+        return {.m_status = status_condition_failed, .m_body = {{"rows", current}, {"ver", m_version}}};
+    }
+    const json writes = asked.value("writes", json::array());
+    for (const json& each : writes) {
+        if (each.at("table") == "op" || each.at("table") == "servers") {
+            return {.m_status = status_forbidden, .m_body = json::object()};
+        }
+    }
+    ++m_version;
+    for (const json& each : writes) {
+        write({each.at("table"), each.at("key")}, each.at("value").get<std::string>(), m_version);
+    }
+    for (const json& each : asked.value("remove", json::array())) {
+        write({each.at("table"), each.at("key")}, std::nullopt, m_version);
+    }
+    answer_feeds();
+    return {.m_status = status_ok, .m_body = {{"ver", m_version}}};
+}
+
+row_store::reply row_store::promote(const std::map<std::string, std::string>& headers,
+                                    const std::string& body) {
+    const json asked = json::parse(body, nullptr, false);
+    const auto holder = headers.find("X-Duty-Holder");
+    if (!asked.is_object() || holder == headers.end()) {
+        return {.m_status = status_bad_request, .m_body = json::object()};
+    }
+    const bool runs = m_on_promotion({.m_group = asked.value("service", std::string{}),
+                                      .m_candidate = asked.value("id", std::string{}),
+                                      .m_holder = holder->second,
+                                      .m_token = number(headers, "X-Fencing-Token")});
+    return {.m_status = runs ? status_ok : status_conflict, .m_body = json::object()};
+}
+
+void row_store::write(const row_key& key, const std::optional<std::string>& value, std::uint64_t version) {
+    if (value) {
+        m_rows[key] = {.m_value = *value, .m_version = version};
+    } else if (m_rows.erase(key) == 0) {
+        return;
+    }
+    m_history.push_back({.m_version = version, .m_key = key, .m_removed = !value});
+    while (m_history.size() > longest_history) {
+        m_oldest = m_history.front().m_version;
+        m_history.pop_front();
+    }
+}
+
+void row_store::put(const std::string& table, const std::string& key, const std::string& value) {
+    write({table, key}, base64(value), ++m_version);
+    answer_feeds();
+}
+
+void row_store::drop(const std::string& table, const std::string& key) {
+    write({table, key}, std::nullopt, ++m_version);
+    answer_feeds();
+}
+
+void row_store::forget_history() {
+    m_history.clear();
+    m_oldest = m_version + 1;
+    ++m_version;
+}
+
+/// Returns nothing while there is nothing to tell.
+std::optional<row_store::reply> row_store::feed(const std::string& table, std::uint64_t after) const {
+    if (after < m_oldest && m_oldest > 1) {
+        return reply{.m_status = status_gone, .m_body = json::object()};
+    }
+    std::map<row_key, const change*> newest;
+    for (const change& each : m_history) {
+        if (each.m_version > after && each.m_key.first == table) {
+            newest[each.m_key] = &each;
+        }
+    }
+    if (newest.empty()) {
+        return std::nullopt;
+    }
+    json rows = json::array();
+    for (const auto& [key, each] : newest) {
+        json made = encode(key);
+        if (each->m_removed) {
+            made["removed"] = true;
+            made["ver"] = each->m_version;
+        }
+        rows.push_back(made);
+    }
+    return reply{.m_status = status_ok, .m_body = {{"rows", rows}, {"ver", m_version}}};
+}
+
+void row_store::answer_feeds() {
+    for (auto each = m_feeds.begin(); each != m_feeds.end();) {
+        const auto open = each->m_on.lock();
+        const bool gone = !open || !open->m_stream->is_open();
+        if (!gone && (m_faults.m_silent || m_faults.m_refuses)) {
+            ++each; // Held until the store is back.
+            continue;
+        }
+        auto made = gone ? std::nullopt : feed(each->m_table, each->m_after);
+        if (!made && !gone && reactor::now() >= each->m_until) {
+            made = reply{.m_status = status_ok, .m_body = {{"rows", json::array()}, {"ver", m_version}}};
+        }
+        if (made) {
+            send(open, *made);
+        }
+        each = gone || made ? m_feeds.erase(each) : std::next(each);
+    }
+}
+
+void row_store::tick() {
+    answer_feeds();
+    m_loop.after(feed_period, [this] { tick(); });
+}
+
+}
--- /dev/null
+++ b/standins/line_platform/row_store.hpp
@@ -0,0 +1,115 @@
+/// \file row_store.hpp
+/// A stand-in for the platform's metadata store and its promotion call: rows
+/// with versions, changes under conditions and a feed over HTTP/1.1, and the
+/// store's faults.
+#pragma once
+
+#include "anvilmount/base/endpoint.hpp"
+#include "anvilmount/wire/reactor.hpp"
+#include "anvilmount/wire/tcp_listener.hpp"
+#include "anvilmount/wire/tcp_stream.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace standin {
+
+struct row_store_faults {
+    bool m_refuses{false}; ///< Answers 503 to everything; nothing is done.
+    bool m_silent{false};  ///< Answers nothing; nothing is done.
+    int m_slowness{1};     ///< Answers take this many times as long.
+    double m_lost{0};      ///< Share of the changes that are made and not answered.
+};
+
+struct promotion_order {
+    std::string m_group{};
+    std::string m_candidate{};
+    std::string m_holder{};
+    std::uint64_t m_token{0};
+};
+
+class row_store {
+public:
+    /// Returns whether the candidate runs.
+    using promotion_handler = std::function<bool(const promotion_order&)>;
+
+    row_store(anvilmount::reactor& loop, std::uint32_t seed, promotion_handler on_promotion)
+        : m_loop(loop), m_random(seed), m_on_promotion(std::move(on_promotion)) {}
+
+    /// Errors: listen_failed (1603).
+    [[nodiscard]] anvilmount::result<void> listen(const anvilmount::endpoint& where);
+
+    /// What the platform itself writes; faults do not hold it up.
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void drop(const std::string& table, const std::string& key);
+
+    void set_faults(const row_store_faults& faults) { m_faults = faults; }
+
+    /// Feeds from before now are told that their history is gone.
+    void forget_history();
+
+private:
+    struct connection;
+    using connection_ptr = std::shared_ptr<connection>;
+    using row_key = std::pair<std::string, std::string>; ///< Table and key.
+
+    struct row {
+        std::string m_value{}; ///< As on the wire.
+        std::uint64_t m_version{0};
+    };
+
+    struct change {
+        std::uint64_t m_version{0};
+        row_key m_key{};
+        bool m_removed{false};
+    };
+
+    struct reply {
+        int m_status{0};
+        nlohmann::json m_body{};
+    };
+
+    struct waiting_feed {
+        std::weak_ptr<connection> m_on{};
+        std::string m_table{};
+        std::uint64_t m_after{0};
+        anvilmount::steady_time m_until{};
+    };
+
+    void accept(int fd);
+    void serve(const connection_ptr& on, const std::string& method, const std::string& target,
+               const std::map<std::string, std::string>& headers, const std::string& body);
+    void send(const connection_ptr& on, const reply& what);
+    [[nodiscard]] reply read_rows(const std::map<std::string, std::string>& query) const;
+    [[nodiscard]] reply change_rows(const std::string& body);
+    [[nodiscard]] reply promote(const std::map<std::string, std::string>& headers, const std::string& body);
+    [[nodiscard]] std::optional<reply> feed(const std::string& table, std::uint64_t after) const;
+    [[nodiscard]] nlohmann::json encode(const row_key& key) const;
+    void write(const row_key& key, const std::optional<std::string>& value, std::uint64_t version);
+    void answer_feeds();
+    void tick();
+
+    anvilmount::reactor& m_loop;
+    std::mt19937 m_random;
+    promotion_handler m_on_promotion;
+    row_store_faults m_faults;
+    std::unique_ptr<anvilmount::tcp_listener> m_listener;
+    std::set<connection_ptr> m_connections;
+    std::map<row_key, row> m_rows;
+    std::deque<change> m_history;
+    std::uint64_t m_version{1};
+    std::uint64_t m_oldest{1}; ///< The feed goes on from here or later.
+    std::list<waiting_feed> m_feeds;
+};
+
+}
--- a/standins/relay/fault_relay.cpp
+++ b/standins/relay/fault_relay.cpp
@@ -16,10 +16,13 @@
 result<void> fault_relay::start() {
     BOOST_LEAF_ASSIGN(m_listener,
                       tcp_listener::listen(m_reactor, m_options.m_listen, [this](int fd) { accept(fd); }));
+    if (!m_options.m_control) {
+        return {};
+    }
     BOOST_LEAF_ASSIGN(
-        m_control, http2_server::listen(m_reactor, m_options.m_control, [this](const auto& stream) {
+        m_control, http2_server::listen(m_reactor, *m_options.m_control, [this](const auto& stream) {
             serve_exchange(stream, [this](const http2_request& request, const respond_handler& respond) {
-                set_faults(request.m_body);
+                read_faults(request.m_body);
                 respond({.m_status = 200, .m_body = "{}"});
             });
         }));
@@ -88,17 +91,23 @@
     m_pairs.erase(connection);
 }
 
-void fault_relay::set_faults(const std::string& body) {
-    const nlohmann::json faults = nlohmann::json::parse(body, nullptr, false);
-    if (!faults.is_object()) {
+void fault_relay::read_faults(const std::string& body) {
+    const nlohmann::json read = nlohmann::json::parse(body, nullptr, false);
+    if (!read.is_object()) {
         return;
     }
-    m_faults.m_delay = milliseconds{faults.value("delay_ms", static_cast<int>(m_faults.m_delay.count()))};
-    m_faults.m_answer_delay =
-        milliseconds{faults.value("answer_delay_ms", static_cast<int>(m_faults.m_answer_delay.count()))};
-    m_faults.m_stall = faults.value("stall", m_faults.m_stall);
-    m_faults.m_drop_answers = faults.value("drop_answers", m_faults.m_drop_answers);
-    m_faults.m_cut = faults.value("cut", m_faults.m_cut);
+    const auto delay = [&](const char* name, milliseconds now) {
+        return milliseconds{read.value(name, static_cast<int>(now.count()))};
+    };
+    set_faults({.m_delay = delay("delay_ms", m_faults.m_delay),
+                .m_answer_delay = delay("answer_delay_ms", m_faults.m_answer_delay),
+                .m_stall = read.value("stall", m_faults.m_stall),
+                .m_drop_answers = read.value("drop_answers", m_faults.m_drop_answers),
+                .m_cut = read.value("cut", m_faults.m_cut)});
+}
+
+void fault_relay::set_faults(const relay_faults& faults) {
+    m_faults = faults;
     if (m_faults.m_cut) {
         const auto pairs = m_pairs;
         for (const pair_ptr& each : pairs) {
--- a/standins/relay/fault_relay.hpp
+++ b/standins/relay/fault_relay.hpp
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,7 +25,7 @@
 struct relay_options {
     anvilmount::endpoint m_listen;
     anvilmount::endpoint m_target;
-    anvilmount::endpoint m_control;
+    std::optional<anvilmount::endpoint> m_control{}; ///< Unset: only set_faults() sets faults.
 };
 
 struct relay_faults {
@@ -43,6 +44,8 @@
     /// Errors: listen_failed (1603).
     [[nodiscard]] anvilmount::result<void> start();
 
+    void set_faults(const relay_faults& faults);
+
 private:
     /// Bytes on their way in one direction.
     struct held_bytes {
@@ -63,7 +66,7 @@
     void hold(const pair_ptr& connection, bool to_client, std::string_view bytes);
     void pass(const pair_ptr& connection);
     void end(const pair_ptr& connection);
-    void set_faults(const std::string& body);
+    void read_faults(const std::string& body);
 
     anvilmount::reactor& m_reactor;
     relay_options m_options;
--- /dev/null
+++ b/test/soak/ledger_notices.cpp
@@ -0,0 +1,225 @@
+/// \file ledger_notices.cpp
+/// The soak's ledger reports each kind of broken promise, and nothing while all
+/// are kept; and a schedule follows from its seed.
+#include "soak/promise_ledger.hpp"
+#include "soak/soak_schedule.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One group of a primary "a" and a replica "b", and one session on it.
+struct one_group {
+    std::map<std::string, standin::line_log> m_logs{{"a", {}}, {"b", {}}};
+    test::promise_ledger m_ledger{
+        [](const std::string&) { return std::string("a"); },
+        [this](const std::string& upstream) -> const standin::line_log& { return m_logs.at(upstream); }};
+    steady_time m_now{10s};
+
+    explicit one_group(test::freshness freshness = test::freshness::every_commit) {
+        m_ledger.opened(1, {.m_database = "pay", .m_group = "g", .m_freshness = freshness});
+        m_ledger.opened(2, {.m_database = "pay", .m_group = "g", .m_freshness = freshness});
+    }
+
+    void send(const std::string& id, const std::string& text, std::uint64_t attempt,
+              bool in_transaction = false, std::uint64_t session = 1) {
+        m_now += 1ms;
+        m_ledger.sent({.m_id = id,
+                       .m_text = text,
+                       .m_session = session,
+                       .m_attempt = attempt,
+                       .m_in_transaction = in_transaction,
+                       .m_at = m_now});
+    }
+
+    void run(const std::string& id, const std::string& text, const std::string& upstream = "a",
+             std::uint64_t transaction = 0) {
+        m_ledger.ran({.m_upstream = upstream,
+                      .m_id = id,
+                      .m_text = text,
+                      .m_connection = 1,
+                      .m_transaction = transaction,
+                      .m_proof = "proof-" + id});
+    }
+
+    void commit(const std::string& id, bool superseded = false) {
+        const auto made = std::make_shared<standin::line_commit>();
+        made->m_ids = {id};
+        m_logs.at("a").push_back(made);
+        m_ledger.committed(*made, superseded, false);
+    }
+
+    void succeed(const std::string& id) {
+        m_now += 1ms;
+        m_ledger.told(id, {.m_success = true, .m_proof = "proof-" + id}, m_now);
+    }
+
+    void refuse(const std::string& id) { m_ledger.told(id, {.m_promises_nothing_ran = true}, m_now); }
+
+    void write(const std::string& id, std::uint64_t attempt) {
+        send(id, "WRITE 1 x", attempt);
+        run(id, "WRITE 1 x");
+        commit(id);
+        succeed(id);
+    }
+
+    /// What the only report says; "none", or how many there are.
+    [[nodiscard]] std::string report() const {
+        const auto& broken = m_ledger.broken();
+        return broken.empty()       ? "none"
+               : broken.size() == 1 ? broken.front().substr(0, broken.front().find(':'))
+                                    : std::to_string(broken.size());
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_CASE(kept_promises_are_not_reported) {
+    one_group all;
+    all.write("w1", 1);
+    all.send("r1", "READ 1", 2);
+    all.run("r1", "READ 1");
+    all.succeed("r1");
+    all.send("b2", "BEGIN", 3, true);
+    all.send("w2", "WRITE 1 y", 3, true);
+    all.run("w2", "WRITE 1 y", "a", 7);
+    all.succeed("w2");
+    all.send("c2", "COMMIT", 3, true);
+    all.run("c2", "COMMIT", "a", 7);
+    all.commit("w2");
+    all.succeed("c2");
+    BOOST_TEST(all.report() == "none");
+    BOOST_TEST(all.m_ledger.successes("pay") == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_without_an_acknowledged_commit_is_reported) {
+    one_group all;
+    all.write("w1", 1);
+    all.send("r1", "READ 1", 2);
+    all.run("r1", "READ 1", "b");
+    all.succeed("r1");
+    BOOST_TEST(all.report() == "read at b lacks w1");
+}
+
+BOOST_AUTO_TEST_CASE(a_session_reads_its_own_commits_and_need_not_read_newer_ones_of_others) {
+    one_group all(test::freshness::own_commits);
+    for (const std::uint64_t session : {1U, 2U}) {
+        all.m_ledger.opened(session, {.m_database = "scan",
+                                      .m_group = "g",
+                                      .m_freshness = test::freshness::own_commits,
+                                      .m_max_age = 2500ms});
+    }
+    all.write("w1", 1);
+    all.send("r2", "READ 1", 2, false, 2);
+    all.run("r2", "READ 1", "b");
+    all.succeed("r2");
+    BOOST_TEST(all.report() == "none");
+    all.send("r1", "READ 1", 3);
+    all.run("r1", "READ 1", "b");
+    all.succeed("r1");
+    BOOST_TEST(all.report() == "read at b lacks w1");
+}
+
+BOOST_AUTO_TEST_CASE(a_write_that_takes_effect_twice_is_reported) {
+    one_group all;
+    all.write("w1", 1);
+    all.commit("w1");
+    BOOST_TEST(all.report() == "took effect twice");
+}
+
+BOOST_AUTO_TEST_CASE(a_write_that_was_refused_and_kept_is_reported_whichever_came_first) {
+    for (const bool refused_first : {true, false}) {
+        one_group all;
+        all.send("w1", "WRITE 1 x", 1);
+        all.run("w1", "WRITE 1 x");
+        if (refused_first) {
+            all.refuse("w1");
+        }
+        all.commit("w1");
+        if (!refused_first) {
+            all.refuse("w1");
+        }
+        BOOST_TEST(all.report() != "none");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_write_of_a_replaced_primary_is_reported_once_it_is_acknowledged) {
+    one_group all;
+    all.send("w1", "WRITE 1 x", 1);
+    all.run("w1", "WRITE 1 x");
+    all.commit("w1", true);
+    BOOST_TEST(all.report() == "none");
+    all.succeed("w1");
+    BOOST_TEST(all.report() == "acknowledged a write of a replaced primary");
+}
+
+BOOST_AUTO_TEST_CASE(mixed_and_changed_statements_are_reported) {
+    one_group stranger;
+    stranger.run("x", "READ 1");
+    BOOST_TEST(stranger.report() == "ran what nobody sent");
+
+    one_group changed;
+    changed.send("r1", "READ 1", 1);
+    changed.run("r1", "READ 2");
+    BOOST_TEST(changed.m_ledger.broken().size() == 1U);
+
+    one_group outside;
+    outside.send("r1", "READ 1", 1, true);
+    outside.run("r1", "READ 1");
+    BOOST_TEST(outside.report() == "ran outside its transaction, or inside one");
+
+    one_group mixed;
+    mixed.send("r1", "READ 1", 1, true);
+    mixed.run("r1", "READ 1", "a", 7);
+    mixed.send("r2", "READ 1", 2, true);
+    mixed.run("r2", "READ 1", "a", 7);
+    BOOST_TEST(mixed.report() == "ran in another transaction");
+
+    one_group values;
+    values.m_ledger.value_set(1, "v", "1");
+    values.send("r1", "READ 1", 1);
+    values.run("r1", "READ 1");
+    BOOST_TEST(values.report() == "ran with other session values");
+
+    one_group forged;
+    forged.send("r1", "READ 1", 1);
+    forged.run("r1", "READ 1");
+    forged.m_ledger.told("r1", {.m_success = true, .m_proof = "other"}, forged.m_now);
+    BOOST_TEST(forged.report() == "answered with success without the upstream's proof or rows");
+
+    one_group hasty;
+    hasty.send("w1", "WRITE 1 x", 1, true);
+    hasty.run("w1", "WRITE 1 x", "a", 7);
+    hasty.commit("w1");
+    BOOST_TEST(hasty.report() == "committed without the caller's COMMIT");
+}
+
+BOOST_AUTO_TEST_CASE(fencing_tokens_only_rise) {
+    one_group all;
+    all.m_ledger.promotion_ordered("one", 3);
+    all.m_ledger.promotion_ordered("one", 3);
+    all.m_ledger.promotion_ordered("two", 4);
+    BOOST_TEST(all.report() == "none");
+    all.m_ledger.promotion_ordered("one", 3);
+    BOOST_TEST(all.m_ledger.broken().size() == 1U);
+    all.m_ledger.promotion_ordered("three", 4);
+    BOOST_TEST(all.m_ledger.broken().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_schedule_follows_from_its_seed) {
+    const test::soak_size size{.m_gateways = 4, .m_upstreams = 6, .m_duration = 60000ms};
+    const auto first = test::draw_schedule(7, size);
+    const auto again = test::draw_schedule(7, size);
+    const auto other = test::draw_schedule(8, size);
+    BOOST_REQUIRE(first.size() == again.size());
+    BOOST_TEST(first.size() > 20U);
+    for (std::size_t index = 0; index < first.size(); ++index) {
+        BOOST_TEST(first[index].m_at.count() == again[index].m_at.count());
+        BOOST_TEST((first[index].m_fault == again[index].m_fault));
+        BOOST_TEST(first[index].m_target == again[index].m_target);
+    }
+    BOOST_TEST((other.size() != first.size() || other.front().m_fault != first.front().m_fault));
+}
--- /dev/null
+++ b/test/soak/main.cpp
@@ -0,0 +1,278 @@
+/// \file main.cpp
+/// The fault soak: real gateways on loopback, faults from outside drawn from a
+/// seed, and the promises checked all the while. Ends with exit code 1 when one
+/// was broken, when a gateway ended by itself, or when a database was not
+/// served again after the faults.
+#include "soak/soak_fleet.hpp"
+#include "soak/soak_schedule.hpp"
+
+#include "anvilmount/base/settings.hpp"
+
+#include <QCoreApplication>
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <filesystem>
+
+DEFINE_int32(seed, 1, "what the faults are drawn from");
+DEFINE_int32(seconds, 60, "how long faults come");
+DEFINE_int32(gateways, 4, "gateways, each a process");
+DEFINE_int32(groups, 2, "database groups of three upstreams");
+DEFINE_int32(callers, 24, "callers at once");
+DEFINE_int32(port, 23000, "first of the ports that are used");
+DEFINE_string(gateway, "", "program that is run; that of this build when empty");
+DEFINE_string(directory, "/tmp/anvilmount-soak", "where settings and logs go");
+
+namespace {
+
+using namespace anvilmount;
+using test::soak_event;
+using test::soak_fault;
+
+/// Time until all gateways must be ready after the start.
+constexpr milliseconds start_limit{30000};
+constexpr milliseconds readiness_period{200};
+
+/// Time after the last fault until every database must be served again; twice
+/// what a change of primary with a lease to wait for takes.
+constexpr milliseconds recovery_time{25000};
+
+/// Successes are counted in this last part of the run.
+constexpr milliseconds count_time{6000};
+
+constexpr milliseconds configuration_gap{150};
+
+/// Starts and ends one event.
+class soak_run {
+public:
+    soak_run(reactor& loop, test::soak_fleet& fleet) : m_loop(loop), m_fleet(fleet) {}
+
+    void begin() {
+        m_loop.after(start_limit, [this] {
+            if (!m_started) {
+                m_fleet.ledger().report("not all gateways were ready in time after the start");
+                QCoreApplication::quit();
+            }
+        });
+        wait_until_ready();
+    }
+
+private:
+    void wait_until_ready() {
+        m_fleet.count_ready([this](int ready) {
+            if (ready < m_fleet.options().m_gateways) {
+                m_loop.after(readiness_period, [this] { wait_until_ready(); });
+                return;
+            }
+            m_started = true;
+            m_fleet.start_callers();
+            run_schedule();
+        });
+    }
+
+    void run_schedule() {
+        const milliseconds duration = std::chrono::seconds{FLAGS_seconds};
+        milliseconds last = duration;
+        const auto events = test::draw_schedule(static_cast<std::uint32_t>(FLAGS_seed),
+                                                {.m_gateways = m_fleet.options().m_gateways,
+                                                 .m_upstreams = m_fleet.upstreams(),
+                                                 .m_duration = duration});
+        for (const soak_event& each : events) {
+            last = std::max(last, each.m_at + each.m_lasts);
+            m_loop.after(each.m_at, [this, each] {
+                std::printf("%7lld ms %s %d for %lld ms\n", static_cast<long long>(each.m_at.count()),
+                            name_of(each.m_fault).c_str(), each.m_target,
+                            static_cast<long long>(each.m_lasts.count()));
+                std::fflush(stdout);
+                start(each);
+            });
+            m_loop.after(each.m_at + each.m_lasts, [this, each] { end(each); });
+        }
+        m_loop.after(last + recovery_time - count_time, [this] { note_successes(); });
+        m_loop.after(last + recovery_time, [this] { finish(); });
+    }
+
+    void start(const soak_event& what) {
+        const int target = what.m_target;
+        const bool planned = what.m_fault == soak_fault::stop || what.m_fault == soak_fault::reload ||
+                             what.m_fault == soak_fault::configuration;
+        if (!planned) {
+            m_fleet.note_fault();
+        }
+        switch (what.m_fault) {
+        case soak_fault::kill:
+            return m_fleet.kill_gateway(target);
+        case soak_fault::kill_all:
+            return for_all_gateways([this](int each) { m_fleet.kill_gateway(each); });
+        case soak_fault::pause:
+            return m_fleet.pause_gateway(target);
+        case soak_fault::stop:
+            return m_fleet.stop_gateway(target);
+        case soak_fault::reload:
+            return m_fleet.reload_gateway(target);
+        case soak_fault::store_refuses:
+            return m_fleet.store().set_faults({.m_refuses = true});
+        case soak_fault::store_silent:
+            return m_fleet.store().set_faults({.m_silent = true});
+        case soak_fault::store_slow:
+            return m_fleet.store().set_faults({.m_slowness = 60});
+        case soak_fault::store_loses:
+            return m_fleet.store().set_faults({.m_lost = 0.3});
+        case soak_fault::store_forgets:
+            return m_fleet.store().forget_history();
+        case soak_fault::store_path_cut:
+            return m_fleet.set_store_path(target, {.m_cut = true});
+        case soak_fault::store_path_mute:
+            return m_fleet.set_store_path(target, {.m_drop_answers = true});
+        case soak_fault::upstream_down:
+            return m_fleet.set_upstream(target, {.m_down = true});
+        case soak_fault::upstream_silent:
+            return m_fleet.set_upstream_path(target, {.m_stall = true});
+        case soak_fault::upstream_mute:
+            return m_fleet.set_upstream_path(target, {.m_drop_answers = true});
+        case soak_fault::upstream_delayed:
+            return m_fleet.set_upstream_path(target, {.m_delay = milliseconds{150}});
+        case soak_fault::upstream_reset:
+            return m_fleet.set_upstream_path(target, {.m_cut = true});
+        case soak_fault::upstream_slow:
+            return m_fleet.set_upstream(target, {.m_slowness = 5});
+        case soak_fault::answers_lost:
+            return m_fleet.set_upstream(target, {.m_answer_loss = 0.05});
+        case soak_fault::replica_lags:
+            return m_fleet.set_upstream(target, {.m_extra_lag = milliseconds{2000}});
+        case soak_fault::configuration:
+            for (int number = 0; number < 3; ++number) {
+                m_loop.after(configuration_gap * number, [this] { m_fleet.change_configuration(); });
+            }
+        }
+    }
+
+    void end(const soak_event& what) {
+        const int target = what.m_target;
+        switch (what.m_fault) {
+        case soak_fault::kill:
+            m_fleet.revive(target);
+            break;
+        case soak_fault::kill_all:
+            for_all_gateways([this](int each) { m_fleet.revive(each); });
+            break;
+        case soak_fault::pause:
+            m_fleet.resume_gateway(target);
+            break;
+        case soak_fault::stop:
+        case soak_fault::reload:
+        case soak_fault::configuration:
+            return;
+        case soak_fault::store_refuses:
+        case soak_fault::store_silent:
+        case soak_fault::store_slow:
+        case soak_fault::store_loses:
+        case soak_fault::store_forgets:
+            m_fleet.store().set_faults({});
+            break;
+        case soak_fault::store_path_cut:
+        case soak_fault::store_path_mute:
+            m_fleet.set_store_path(target, {});
+            break;
+        case soak_fault::upstream_silent:
+        case soak_fault::upstream_mute:
+        case soak_fault::upstream_delayed:
+        case soak_fault::upstream_reset:
+            m_fleet.set_upstream_path(target, {});
+            break;
+        case soak_fault::upstream_down:
+        case soak_fault::upstream_slow:
+        case soak_fault::answers_lost:
+        case soak_fault::replica_lags:
+            m_fleet.set_upstream(target, {});
+            break;
+        }
+        m_fleet.note_fault();
+    }
+
+    template <class Action>
+    void for_all_gateways(Action action) {
+        for (int each = 0; each < m_fleet.options().m_gateways; ++each) {
+            action(each);
+        }
+    }
+
+    void note_successes() {
+        for (const test::soak_route& each : m_fleet.routes()) {
+            m_successes[each.m_database] = m_fleet.ledger().successes(each.m_database);
+        }
+    }
+
+    void finish() {
+        for (const test::soak_route& each : m_fleet.routes()) {
+            if (m_fleet.ledger().successes(each.m_database) == m_successes[each.m_database]) {
+                m_fleet.ledger().report("not served again after the faults: " + each.m_database);
+            }
+        }
+        m_fleet.stop_callers();
+        m_fleet.end_gateways();
+        QCoreApplication::quit();
+    }
+
+    reactor& m_loop;
+    test::soak_fleet& m_fleet;
+    std::map<std::string, std::uint64_t> m_successes;
+    bool m_started{false};
+};
+
+std::vector<setting> settings() {
+    constexpr long most_seconds = 36000;
+    constexpr long most_gateways = 40;
+    constexpr long most_groups = 8;
+    constexpr long most_callers = 2000;
+    constexpr long last_port = 64000;
+    return {{"seed", "Run", "0 to 2000000000", number_between(0, 2000000000)},
+            {"seconds", "Run", "1 to 36000 s", number_between(1, most_seconds)},
+            {"gateways", "Size", "1 to 40", number_between(1, most_gateways)},
+            {"groups", "Size", "1 to 8", number_between(1, most_groups)},
+            {"callers", "Size", "1 to 2000", number_between(1, most_callers)},
+            {"port", "Addresses", "1024 to 64000", number_between(1024, last_port)},
+            {"gateway", "Files", "path of a program", [](const std::string&) { return true; }},
+            {"directory", "Files", "path of a folder that may be emptied",
+             [](const std::string& path) { return !path.empty(); }}};
+}
+
+}
+
+int main(int argc, char** argv) {
+    if (const auto exit_code = begin_with_settings(
+            settings(), "soak: gateways under faults from outside, their promises checked", &argc, &argv)) {
+        return *exit_code;
+    }
+    qputenv("QT_NO_GLIB", "1");
+    const QCoreApplication application(argc, argv);
+    std::filesystem::remove_all(FLAGS_directory);
+    std::filesystem::create_directories(FLAGS_directory);
+    reactor loop;
+    test::soak_fleet fleet(
+        loop, {.m_seed = static_cast<std::uint32_t>(FLAGS_seed),
+               .m_gateways = FLAGS_gateways,
+               .m_groups = FLAGS_groups,
+               .m_callers = FLAGS_callers,
+               .m_gateway = FLAGS_gateway.empty() ? test::program("anvilmount-gateway") : FLAGS_gateway,
+               .m_directory = FLAGS_directory,
+               .m_first_port = FLAGS_port});
+    if (const auto failed = failure_of([&] { return fleet.start(); })) {
+        std::fprintf(stderr, "error %d: %s\n", number_of(failed->m_code), failed->m_message.c_str());
+        return 1;
+    }
+    soak_run run(loop, fleet);
+    run.begin();
+    QCoreApplication::exec();
+    for (const std::string& each : fleet.ledger().broken()) {
+        std::printf("BROKEN %s\n", each.c_str());
+    }
+    std::uint64_t served = 0;
+    for (const test::soak_route& each : fleet.routes()) {
+        served += fleet.ledger().successes(each.m_database);
+    }
+    std::printf("seed %d: %llu statements served, %zu promises broken\n", FLAGS_seed,
+                static_cast<unsigned long long>(served), fleet.ledger().broken().size());
+    return fleet.ledger().broken().empty() ? 0 : 1;
+}
--- /dev/null
+++ b/test/soak/promise_ledger.cpp
@@ -0,0 +1,201 @@
+/// \file promise_ledger.cpp
+#include "soak/promise_ledger.hpp"
+
+#include <algorithm>
+
+namespace test {
+namespace {
+
+using anvilmount::steady_time;
+
+bool is_read(const std::string& text) {
+    return text.starts_with("READ ") || text.starts_with("EXECUTE READ ");
+}
+
+bool is_write(const std::string& text) {
+    return text.starts_with("WRITE ") || text.starts_with("EXECUTE WRITE ");
+}
+
+bool contains(const standin::line_log& log, std::size_t number, const std::string& id) {
+    return number < log.size() && std::count(log[number]->m_ids.begin(), log[number]->m_ids.end(), id) > 0;
+}
+
+}
+
+void promise_ledger::report(const std::string& what) {
+    m_broken.push_back(what);
+}
+
+std::uint64_t promise_ledger::successes(const std::string& database) const {
+    const auto found = m_successes.find(database);
+    return found == m_successes.end() ? 0 : found->second;
+}
+
+void promise_ledger::opened(std::uint64_t number, const soak_route& route) {
+    m_sessions[number].m_route = route;
+}
+
+void promise_ledger::sent(const sent_statement& what) {
+    m_statements[what.m_id].m_sent = what;
+    attempt& of = m_attempts[what.m_attempt];
+    of.m_started = of.m_started.value_or(what.m_at);
+    of.m_commit_sent = of.m_commit_sent || what.m_text == "COMMIT";
+}
+
+void promise_ledger::value_set(std::uint64_t number, const std::string& name, const std::string& value) {
+    m_sessions[number].m_values[name] = value;
+}
+
+void promise_ledger::told(const std::string& id, const told_answer& what, steady_time now) {
+    const statement& known = m_statements.at(id);
+    attempt& of = m_attempts.at(known.m_sent.m_attempt);
+    if (what.m_promises_nothing_ran) {
+        of.m_promised = true;
+        if (!of.m_committed.empty()) {
+            report("refused as not kept, but committed: " + id);
+        }
+        return;
+    }
+    const std::string& text = known.m_sent.m_text;
+    if (!what.m_success || !(is_read(text) || is_write(text) || text == "COMMIT")) {
+        return;
+    }
+    ++m_successes[m_sessions.at(known.m_sent.m_session).m_route.m_database];
+    // A transaction that reached no upstream ends without one.
+    if (text == "COMMIT" && !of.m_transaction) {
+        return;
+    }
+    const auto answered = std::find_if(known.m_runs.begin(), known.m_runs.end(), [&](const run& each) {
+        return each.m_proof == what.m_proof && each.m_rows == what.m_rows;
+    });
+    if (answered == known.m_runs.end()) {
+        report("answered with success without the upstream's proof or rows: " + id);
+    } else if (!answered->m_stale.empty()) {
+        report("read at " + answered->m_upstream + " lacks " + answered->m_stale + ": " + id);
+    }
+    acknowledge(known, now);
+}
+
+/// Notes that what the statement committed, if anything, is acknowledged.
+void promise_ledger::acknowledge(const statement& known, steady_time now) {
+    const sent_statement& sent = known.m_sent;
+    const std::set<std::string>& ids = m_attempts.at(sent.m_attempt).m_committed;
+    if (sent.m_in_transaction ? sent.m_text != "COMMIT" : !is_write(sent.m_text)) {
+        return;
+    }
+    for (const std::string& id : ids) {
+        commit_record& record = m_commits[m_commit_of.at(id)];
+        if (record.m_acknowledged) {
+            continue;
+        }
+        record.m_acknowledged = now;
+        m_acknowledged[record.m_group].push_back(m_commit_of.at(id));
+        if (record.m_superseded) {
+            report("acknowledged a write of a replaced primary: " + id);
+        }
+    }
+}
+
+void promise_ledger::ran(const standin::line_run& what) {
+    const auto known = m_statements.find(what.m_id);
+    if (known == m_statements.end()) {
+        report("ran what nobody sent: " + what.m_id + " " + what.m_text);
+        return;
+    }
+    check_run(known->second, what);
+    known->second.m_runs.push_back(
+        {.m_upstream = what.m_upstream,
+         .m_proof = what.m_proof,
+         .m_rows = what.m_rows,
+         .m_stale = is_read(what.m_text) ? missing_commit(known->second, what) : std::string{}});
+}
+
+bool promise_ledger::has_run(const std::string& id) const {
+    return !m_statements.at(id).m_runs.empty();
+}
+
+void promise_ledger::check_run(const statement& known, const standin::line_run& what) {
+    const sent_statement& sent = known.m_sent;
+    if (sent.m_text != what.m_text) {
+        report("ran another text: " + what.m_text + " for " + sent.m_text + ", " + sent.m_id);
+    }
+    if (m_sessions.at(sent.m_session).m_values != what.m_values) {
+        report("ran with other session values: " + sent.m_id);
+    }
+    if (sent.m_in_transaction != (what.m_transaction != 0)) {
+        report("ran outside its transaction, or inside one: " + sent.m_id);
+    }
+    if (what.m_transaction == 0) {
+        return;
+    }
+    attempt& of = m_attempts.at(sent.m_attempt);
+    const auto owner = m_transaction_owner.emplace(what.m_transaction, sent.m_attempt).first->second;
+    if (owner != sent.m_attempt || of.m_transaction.value_or(what.m_transaction) != what.m_transaction) {
+        report("ran in another transaction: " + sent.m_id);
+    }
+    of.m_transaction = what.m_transaction;
+}
+
+/// Names a commit that the read had to see and that its upstream's log lacks.
+std::string promise_ledger::missing_commit(const statement& read, const standin::line_run& what) const {
+    const session& reader = m_sessions.at(read.m_sent.m_session);
+    const soak_route& route = reader.m_route;
+    const auto acknowledged = m_acknowledged.find(route.m_group);
+    if (acknowledged == m_acknowledged.end()) {
+        return {};
+    }
+    const attempt& of = m_attempts.at(read.m_sent.m_attempt);
+    const steady_time asked = read.m_sent.m_in_transaction ? *of.m_started : read.m_sent.m_at;
+    const standin::line_log& log = m_log_of(what.m_upstream);
+    const standin::line_log& newest = m_log_of(m_newest_leader(route.m_group));
+    for (const std::size_t index : acknowledged->second) {
+        const commit_record& each = m_commits[index];
+        const bool own = route.m_freshness == freshness::own_commits &&
+                         each.m_session == read.m_sent.m_session && *each.m_acknowledged < asked;
+        const bool old = *each.m_acknowledged < asked - route.m_max_age;
+        if ((own || old) && !contains(log, each.m_number, each.m_id) &&
+            contains(newest, each.m_number, each.m_id)) {
+            return each.m_id;
+        }
+    }
+    return {};
+}
+
+void promise_ledger::committed(const standin::line_commit& what, bool superseded, bool excused) {
+    for (const std::string& id : what.m_ids) {
+        const auto known = m_statements.find(id);
+        if (known == m_statements.end()) {
+            continue; // ran() has told.
+        }
+        const sent_statement& sent = known->second.m_sent;
+        attempt& of = m_attempts.at(sent.m_attempt);
+        if (m_commit_of.contains(id)) {
+            report("took effect twice: " + id);
+        }
+        if (of.m_promised) {
+            report("committed after it was refused as not kept: " + id);
+        }
+        if (sent.m_in_transaction && !of.m_commit_sent) {
+            report("committed without the caller's COMMIT: " + id);
+        }
+        of.m_committed.insert(id);
+        const std::string& group = m_sessions.at(sent.m_session).m_route.m_group;
+        m_commit_of[id] = m_commits.size();
+        m_commits.push_back({.m_session = sent.m_session,
+                             .m_id = id,
+                             .m_group = group,
+                             .m_number = m_log_of(known->second.m_runs.back().m_upstream).size() - 1,
+                             .m_superseded = superseded && !excused});
+    }
+}
+
+void promise_ledger::promotion_ordered(const std::string& holder, std::uint64_t token) {
+    if (token < m_newest_token || (token == m_newest_token && holder != m_newest_holder)) {
+        report("promotion by " + holder + " with token " + std::to_string(token) + " after " +
+               std::to_string(m_newest_token) + " of " + m_newest_holder);
+    }
+    m_newest_token = std::max(m_newest_token, token);
+    m_newest_holder = holder;
+}
+
+}
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -73,14 +73,19 @@
 
 }
 
-child_process::child_process(const std::string& path, std::vector<std::string> arguments) {
+child_process::child_process(const std::string& path, std::vector<std::string> arguments,
+                             const std::string& output) {
     arguments.insert(arguments.begin(), path);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    if (std::getenv("TEST_SHOW_LOGS") == nullptr) {
-        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    const std::string to = output.empty() ? "/dev/null" : output;
+    if (!output.empty() || std::getenv("TEST_SHOW_LOGS") == nullptr) {
+        constexpr int file_mode = 0644;
+        for (const int each : {STDOUT_FILENO, STDERR_FILENO}) {
+            posix_spawn_file_actions_addopen(&actions, each, to.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                             file_mode);
+        }
     }
     const int error =
         posix_spawn(&m_id, path.c_str(), &actions, nullptr, pointers(arguments).data(), environ);
@@ -93,7 +98,10 @@
 }
 
 void child_process::signal(int number) const {
-    ::kill(m_id, number);
+    // Of a process that has ended, the number may be another's, and -1 stands for all.
+    if (m_id > 0) {
+        ::kill(m_id, number);
+    }
 }
 
 void child_process::kill_now() {
@@ -105,10 +113,15 @@
 }
 
 int child_process::wait() {
+    std::optional<int> ended;
+    eventually([&] { return (ended = poll_end()).has_value(); }, 30s);
+    return ended.value_or(-1);
+}
+
+std::optional<int> child_process::poll_end() {
     int status = 0;
-    const bool ended = eventually([&] { return waitpid(m_id, &status, WNOHANG) == m_id; }, 30s);
-    if (!ended) {
-        return -1;
+    if (m_id < 0 || waitpid(m_id, &status, WNOHANG) != m_id) {
+        return std::nullopt;
     }
     m_id = -1;
     return WIFEXITED(status) ? WEXITSTATUS(status) : ended_by_signal + WTERMSIG(status);
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -18,7 +19,9 @@
 /// A child process, killed with the object.
 class child_process {
 public:
-    child_process(const std::string& program, std::vector<std::string> arguments);
+    /// `output` is the file that its standard output and error are added to; empty for none.
+    child_process(const std::string& program, std::vector<std::string> arguments,
+                  const std::string& output = {});
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
@@ -29,6 +32,9 @@
     /// Waits for the end and returns the exit code; -1 after 30 s, 128 and the signal that ended it.
     int wait();
 
+    /// Returns what wait() returns once the process has ended; nothing before.
+    std::optional<int> poll_end();
+
     [[nodiscard]] pid_t id() const { return m_id; }
 
 private:
