--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -42,13 +42,16 @@
     followed_row m_configuration{}; ///< From which adopt_configuration() is told.
 };
 
-/// A caller whose session is served elsewhere, as far as leaving concerns it.
+/// A caller whose session another instance serves.
 struct relayed_caller {
     std::function<void()> m_leave{};                    ///< Close once its operation has ended.
     std::function<void()> m_abandon{};                  ///< Close now.
     std::function<void(std::uint64_t)> m_on_revision{}; ///< A newer configuration is in force here.
     std::function<std::optional<steady_time>()>
         m_resting_since{}; ///< Nothing while a statement is under way.
+    std::function<std::optional<steady_time>()>
+        m_waiting_since{}; ///< When the oldest unanswered statement was passed on; nothing while none is.
+    std::function<void()> m_watch_path{}; ///< Find out whether the serving instance can still be heard.
 };
 
 class gateway {
@@ -133,6 +136,7 @@
     void apply_registry();
     void apply_groups();
     void tick_leaving();
+    void watch_relayed() const;
     void look_at_members();
     void close_misplaced_sessions();
     [[nodiscard]] session_host host();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -23,6 +23,10 @@
 /// Sessions' idle transactions, shares of connections and registrations need no faster look.
 constexpr milliseconds slow_tick{200};
 
+/// A statement that was handed on and is unanswered for this long has its path
+/// watched: longer than nearly every statement takes.
+constexpr milliseconds path_patience{1000};
+
 /// The balancer takes an instance out after two misses, a second apart.
 constexpr milliseconds rotation_time{2400};
 
@@ -319,6 +323,17 @@
     for (const auto& [number, session] : m_sessions) {
         session->tick();
     }
+    watch_relayed();
+}
+
+void gateway::watch_relayed() const {
+    const steady_time now = m_ports.m_clock.m_now();
+    for (const auto& [number, caller] : m_relayed) {
+        const auto since = caller.m_waiting_since();
+        if (since && now >= *since + path_patience) {
+            caller.m_watch_path();
+        }
+    }
 }
 
 bool gateway::is_ready() const {
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -46,6 +46,12 @@
     void pause_reading();
     void resume_reading();
 
+    /// Has the kernel ask the other side for a sign of life while nothing comes,
+    /// and close the connection some 3 s after the last one. Without this, a
+    /// connection whose path is gone stays open until something is sent.
+    void watch_path();
+    void stop_watching_path();
+
     /// Closes at once; bytes not yet sent are lost.
     void close();
 
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -18,6 +18,14 @@
 /// Some tens of round trips: what was written has arrived by then.
 constexpr milliseconds linger_limit{250};
 
+/// The kernel's shortest times for signs of life, and how many may stay out.
+constexpr int probe_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probes_unanswered = 2;
+
+/// The same for bytes that the other side does not confirm.
+constexpr milliseconds unconfirmed_limit{2500};
+
 constexpr std::size_t largest_kept_buffer = std::size_t{16} * 1024;
 
 bool would_block() {
@@ -32,9 +40,12 @@
     return address;
 }
 
+void set_option(int fd, int level, int name, int value) {
+    setsockopt(fd, level, name, &value, sizeof value);
+}
+
 void disable_delay(int fd) {
-    const int on = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
 }
@@ -183,6 +194,19 @@
     update_events();
 }
 
+void tcp_stream::watch_path() {
+    set_option(m_fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
+    set_option(m_fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(m_fd, IPPROTO_TCP, TCP_KEEPCNT, probes_unanswered);
+    set_option(m_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unconfirmed_limit.count()));
+    set_option(m_fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+}
+
+void tcp_stream::stop_watching_path() {
+    set_option(m_fd, SOL_SOCKET, SO_KEEPALIVE, 0);
+    set_option(m_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+}
+
 void tcp_stream::update_events() {
     if (!is_open() || m_connecting) {
         return;
--- a/test/gateway/callers.cpp
+++ b/test/gateway/callers.cpp
@@ -505,3 +505,22 @@
     BOOST_TEST((code_of(caller, 2) == result_code::transaction_lost));
     BOOST_TEST(runs_of(fleet, "COMMIT") == 0);
 }
+
+BOOST_AUTO_TEST_CASE(the_path_of_a_session_that_is_handed_on_is_watched_while_an_answer_is_late) {
+    test::gateway_fleet fleet(1);
+    std::optional<steady_time> waiting_since;
+    int watched = 0;
+    fleet.instance(1).add_relayed({.m_leave = [] {},
+                                   .m_abandon = [] {},
+                                   .m_on_revision = [](std::uint64_t) {},
+                                   .m_resting_since = [] { return std::optional<steady_time>{}; },
+                                   .m_waiting_since = [&] { return waiting_since; },
+                                   .m_watch_path = [&] { ++watched; }});
+    fleet.run_for(3000ms);
+    BOOST_TEST(watched == 0);
+    waiting_since = fleet.m_clock.now();
+    fleet.run_for(900ms);
+    BOOST_TEST(watched == 0);
+    fleet.run_for(500ms);
+    BOOST_TEST(watched > 0);
+}
