Let at most two instances per slot of an upstream hold its connections

Change: a group has at most two holders per slot, as many as statements in flight; the number of connections stays the other limit. A fleet of 12 with 3 slots has 6 holders where it had 7: the test of that says 6 now.

--- a/libs/decisions/include/anvilmount/decisions/connection_share.hpp
+++ b/libs/decisions/include/anvilmount/decisions/connection_share.hpp
@@ -7,6 +7,11 @@
 
 namespace anvilmount {
 
+/// Statements in flight for each slot of an upstream, over all instances: one runs
+/// while the next is on its way. The upstream queues what is beyond its slots,
+/// and knows no urgency.
+inline constexpr int in_flight_per_slot = 2;
+
 struct connection_budget {
     int m_allowed{20};  ///< Connections that the upstream allows over all instances.
     int m_instances{1}; ///< Instances known to be alive.
--- a/libs/decisions/src/group_holders.cpp
+++ b/libs/decisions/src/group_holders.cpp
@@ -15,16 +15,18 @@
 
 }
 
-int holder_count(int connections, int instances) {
-    for (int holders = std::max(1, instances); holders > 1; --holders) {
-        if (connection_share({.m_allowed = connections, .m_instances = holders}) >= least_connections) {
+int holder_count(const holding_limits& limits, int instances) {
+    const int most = limits.m_slots > 0 ? limits.m_slots * in_flight_per_slot : instances;
+    for (int holders = std::max(1, std::min(most, instances)); holders > 1; --holders) {
+        if (connection_share({.m_allowed = limits.m_connections, .m_instances = holders}) >=
+            least_connections) {
             return holders;
         }
     }
     return 1;
 }
 
-std::vector<holder_candidate> group_holders(const group_name& group, int connections,
+std::vector<holder_candidate> group_holders(const group_name& group, const holding_limits& limits,
                                             std::span<const holder_candidate> candidates) {
     std::vector<std::pair<std::uint64_t, holder_candidate>> weighted;
     weighted.reserve(candidates.size());
@@ -37,7 +39,7 @@
     });
     weighted.resize(std::min<std::size_t>(
         weighted.size(),
-        static_cast<std::size_t>(holder_count(connections, static_cast<int>(candidates.size())))));
+        static_cast<std::size_t>(holder_count(limits, static_cast<int>(candidates.size())))));
     std::vector<holder_candidate> holders;
     holders.reserve(weighted.size());
     for (auto& each : weighted) {
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -78,8 +78,9 @@
 
     [[nodiscard]] int live_instances() const;
 
-    /// Returns the instances that hold connections to `group`, whose upstreams allow `connections` each.
-    [[nodiscard]] std::vector<holder_candidate> holders(const group_name& group, int connections) const;
+    /// Returns the instances that hold connections to `group`.
+    [[nodiscard]] std::vector<holder_candidate> holders(const group_name& group,
+                                                        const holding_limits& limits) const;
 
     /// Returns where an instance takes sessions that are handed on; nothing when it is not known.
     [[nodiscard]] std::optional<endpoint> relay_address(const std::string& name) const;
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -6,6 +6,7 @@
 
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/freshness_floor.hpp"
+#include "anvilmount/decisions/group_holders.hpp"
 #include "anvilmount/decisions/group_record.hpp"
 #include "anvilmount/decisions/primary_gap.hpp"
 #include "anvilmount/decisions/upstream_choice.hpp"
@@ -57,9 +58,9 @@
 struct group_options {
     group_name m_name{};
     data_centre m_data_centre{}; ///< Of this instance.
-    int m_most_connections{20};
-    int m_instances{1}; ///< That hold connections to this group.
-    bool m_holds{true}; ///< This one does; else it opens one only when asked to.
+    holding_limits m_limits{};   ///< Of one upstream.
+    int m_instances{1};          ///< That hold connections to this group.
+    bool m_holds{true};          ///< This one does; else it opens one only when asked to.
 };
 
 class group_service {
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -397,7 +397,8 @@
     return std::max(1, static_cast<int>(alive));
 }
 
-std::vector<holder_candidate> fleet_coordinator::holders(const group_name& group, int connections) const {
+std::vector<holder_candidate> fleet_coordinator::holders(const group_name& group,
+                                                         const holding_limits& limits) const {
     std::vector<holder_candidate> candidates{
         {.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre}};
     for (const auto& [key, each] : m_members) {
@@ -407,7 +408,7 @@
                 {.m_name = each.m_record.m_name, .m_data_centre = each.m_record.m_data_centre});
         }
     }
-    return group_holders(group, connections, candidates);
+    return group_holders(group, limits, candidates);
 }
 
 std::optional<endpoint> fleet_coordinator::relay_address(const std::string& name) const {
@@ -502,7 +503,7 @@
 
 std::vector<plan_member> fleet_coordinator::plan_members(const group_name& name, const group_record& record,
                                                          const group_service& group) {
-    const std::vector<holder_candidate> holding = holders(name, group.options().m_most_connections);
+    const std::vector<holder_candidate> holding = holders(name, group.options().m_limits);
     const auto holds = [&](const std::string& instance) {
         return std::any_of(holding.begin(), holding.end(),
                            [&](const holder_candidate& each) { return each.m_name == instance; });
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -107,13 +107,18 @@
 
 group_options gateway::options_for(const group_name& name) const {
     const auto service = m_configuration.m_services.find(name);
-    const int connections = service == m_configuration.m_services.end()
-                                ? service_limits{}.m_most_connections
-                                : service->second.m_most_connections;
-    const std::vector<holder_candidate> holders = m_coordinator.holders(name, connections);
+    holding_limits limits{.m_connections = service == m_configuration.m_services.end()
+                                               ? service_limits{}.m_most_connections
+                                               : service->second.m_most_connections};
+    for (const auto& [id, entry] : m_upstreams) {
+        if (entry.m_group == name) {
+            limits.m_slots = std::max(limits.m_slots, entry.m_slots);
+        }
+    }
+    const std::vector<holder_candidate> holders = m_coordinator.holders(name, limits);
     return {.m_name = name,
             .m_data_centre = m_options.m_data_centre,
-            .m_most_connections = connections,
+            .m_limits = limits,
             .m_instances = static_cast<int>(holders.size()),
             // Until the others are known a connection might take another instance's place.
             .m_holds = m_coordinator.knows_members() &&
@@ -181,6 +186,8 @@
         m_upstreams[id] = entry;
     }
     for (const auto& [name, group] : m_groups) {
+        // Slots that have become known decide who holds connections.
+        group->set_options(options_for(name));
         group->adopt_upstreams(m_upstreams, believe_absence);
     }
 }
@@ -242,7 +249,7 @@
     }
     const steady_time now = m_ports.m_clock.m_now();
     std::vector<holder_candidate> holders =
-        m_coordinator.holders(group->first, group->second->options().m_most_connections);
+        m_coordinator.holders(group->first, group->second->options().m_limits);
     std::erase_if(holders, [&](const holder_candidate& each) {
         const auto address = m_coordinator.relay_address(each.m_name);
         const auto avoided = address ? m_no_relay_before.find(*address) : m_no_relay_before.end();
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -26,14 +26,10 @@
 constexpr milliseconds transaction_grace{300};
 
 /// Statements of one instance that run at one upstream at once, at the least
-/// and at the most. The upstream queues what exceeds its slots, and knows no urgency.
+/// and at the most.
 constexpr int least_parallel = 1;
 constexpr int most_parallel = 3;
 
-/// Statements in flight per slot of an upstream, over all instances: one runs
-/// while the next is on its way.
-constexpr int in_flight_per_slot = 2;
-
 /// A new instance holds one connection to each upstream at first: after a loss of
 /// power many start within some hundred ms, while the upstreams still count the
 /// connections of before, and few are free.
@@ -56,9 +52,10 @@
     if (!m_options.m_holds) {
         return {.m_connections = 1, .m_parallel = 1, .m_warm = 0};
     }
-    const int share = m_one_connection_until ? 1
-                                             : connection_share({.m_allowed = m_options.m_most_connections,
-                                                                 .m_instances = m_options.m_instances});
+    const int share = m_one_connection_until
+                          ? 1
+                          : connection_share({.m_allowed = m_options.m_limits.m_connections,
+                                              .m_instances = m_options.m_instances});
     const int instances = std::max(1, m_options.m_instances);
     const int part = (entry.m_slots * in_flight_per_slot + instances - 1) / instances;
     return {.m_connections = share,
