Let most of the instances that the store hears judge a primary

Ruled out: a dark primary (four instances reached it). Change: only instances whose heartbeats arrive judge a primary, and most of them must miss it. An instance that has not heard from a primary lately, while another misses it, asks it for a sign of life, so that one without traffic does not count as reaching it; a question that stays unanswered shows an upstream silent as a statement does. The fleet test of it fails on the code before (1 promotion).

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -35,6 +35,7 @@
     bool m_cannot_use{false};     ///< Its process has ended, or it has never held a lease.
     bool m_holds{true};           ///< Has connections to the group; others know nothing of its primary.
     bool m_misses_primary{false}; ///< Cannot reach the primary.
+    bool m_heard_of{true};        ///< Its heartbeats arrive; else what it last said is no judgement.
 };
 
 struct plan_view {
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -12,14 +12,15 @@
     return found == view.m_upstreams.end() ? nullptr : &*found;
 }
 
-/// Returns whether at least half of the instances that hold connections cannot reach the primary.
+/// Returns whether most of the instances that can judge the primary cannot reach
+/// it. An instance that the store does not hear may well be serving from it.
 bool fleet_misses_primary(const plan_view& view) {
-    const auto holding = std::count_if(view.m_members.begin(), view.m_members.end(),
-                                       [](const plan_member& each) { return each.m_holds; });
+    const auto judges = [](const plan_member& each) { return each.m_holds && each.m_heard_of; };
+    const auto judging = std::count_if(view.m_members.begin(), view.m_members.end(), judges);
     const auto missing =
         std::count_if(view.m_members.begin(), view.m_members.end(),
-                      [](const plan_member& each) { return each.m_holds && each.m_misses_primary; });
-    return view.m_steward_misses_primary && missing > 0 && 2 * missing >= holding;
+                      [&](const plan_member& each) { return judges(each) && each.m_misses_primary; });
+    return view.m_steward_misses_primary && 2 * missing > judging;
 }
 
 /// Returns whether no instance can go on using the old primary. One that refuses
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -136,6 +136,7 @@
     [[nodiscard]] std::vector<store_row> heartbeat_conditions(bool renews) const;
     void poll_members();
     void on_members(steady_time asked_at, const store_answer& reply);
+    void look_after_missed_primaries() const;
     void take_member(const store_row& row);
     /// Returns how many live instances take the stewardship before this one.
     [[nodiscard]] int rank_as_successor() const;
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -94,6 +94,9 @@
     /// Returns whether the recorded primary has not answered this instance lately.
     [[nodiscard]] bool misses_primary(milliseconds for_at_least) const;
 
+    /// Asks the primary for a sign of life unless it gave one lately.
+    void look_after_primary() const;
+
 private:
     struct pending {
         group_request m_request{};
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -130,6 +130,9 @@
     [[nodiscard]] int in_progress() const { return m_queue.running() + m_queue.waiting(); }
     /// How long new work of `rank` will probably wait until it is sent.
     [[nodiscard]] milliseconds expected_wait(int rank) const;
+
+    /// When the upstream last sent anything.
+    [[nodiscard]] steady_time heard_at() const { return m_heard_at; }
     [[nodiscard]] int running_at_primary() const;
     [[nodiscard]] int held_links() const;
     [[nodiscard]] int parallel() const { return m_limits.m_parallel; }
@@ -164,6 +167,7 @@
     void fail_awaited(const link_handle& link);
     void close_idle();
     void give_up_answer(const link_handle& link);
+    void note_silent();
     void close_silent_links();
 
     upstream_entry m_entry;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -302,9 +302,24 @@
         m_steward_version = 0;
         m_steward_changed_at = {};
     }
+    look_after_missed_primaries();
     consider_stewardship();
 }
 
+/// An instance without traffic does not notice a primary that has fallen silent,
+/// and would count as one that reaches it.
+void fleet_coordinator::look_after_missed_primaries() const {
+    for (const auto& [name, group] : m_groups) {
+        const bool missed =
+            std::any_of(m_members.begin(), m_members.end(), [&, name = name](const auto& each) {
+                return is_alive(each.second) && each.second.m_record.m_missing.contains(name);
+            });
+        if (missed) {
+            group->look_after_primary();
+        }
+    }
+}
+
 void fleet_coordinator::take_member(const store_row& row) {
     member& known = m_members[row.m_key];
     if (row.m_version <= known.m_version) {
@@ -525,7 +540,8 @@
         members.push_back({.m_agreed = agreed,
                            .m_cannot_use = each.m_refused || silent,
                            .m_holds = holds(each.m_record.m_name),
-                           .m_misses_primary = !is_alive(each) || each.m_record.m_missing.contains(name)});
+                           .m_misses_primary = each.m_record.m_missing.contains(name),
+                           .m_heard_of = is_alive(each)});
     }
     return members;
 }
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds first_behind_pause{60};
 constexpr milliseconds longest_behind_pause{700};
 
+/// A primary that gave a sign of life within this time is not asked for one.
+constexpr milliseconds life_sign_age{500};
+
 /// An upstream that is busy frees a slot within about one statement.
 constexpr milliseconds busy_pause{12};
 
@@ -174,6 +177,14 @@
            (since && m_clock.m_now() >= *since + for_at_least);
 }
 
+void group_service::look_after_primary() const {
+    const auto pool = pool_of(m_record.m_primary);
+    if (pool && m_options.m_holds && !pool->failing_since() &&
+        m_clock.m_now() >= pool->heard_at() + life_sign_age) {
+        pool->ask_directly({.m_kind = outgoing_statement::kind::status}, [](const std::optional<answer>&) {});
+    }
+}
+
 std::optional<log_position> group_service::floor_for(const group_request& request) const {
     std::optional<log_position> floor;
     if (request.m_max_age) {
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -514,12 +514,21 @@
     finish(work_id, {.m_end = work_end::lost, .m_code = result_code::outcome_unknown});
 }
 
+void upstream_pool::note_silent() {
+    if (!m_failing_since) {
+        // Connecting anew shows whether it answers again.
+        close_idle();
+        note_failing("statement unanswered");
+    }
+}
+
 void upstream_pool::close_silent_links() {
     const steady_time now = m_clock.m_now();
     const std::vector<link_handle> links(m_links.begin(), m_links.end());
     for (const link_handle& link : links) {
         const auto question = m_questions.find(link->m_number);
         if (question != m_questions.end() && now >= std::max(link->m_since, m_heard_at) + silence_limit) {
+            note_silent();
             close(link);
             continue;
         }
@@ -529,10 +538,8 @@
         }
         const pool_work& work = m_work.at(link->m_work);
         const bool silent = now >= std::max(sent->second, m_heard_at) + silence_limit;
-        if (silent && !m_failing_since) {
-            // Connecting anew shows whether it answers again.
-            close_idle();
-            note_failing("statement unanswered");
+        if (silent) {
+            note_silent();
         }
         if (silent && (work.m_repeatable || now >= work.m_answer_until)) {
             close(link);
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -145,6 +145,31 @@
     BOOST_TEST(writes(fleet, steward));
 }
 
+BOOST_AUTO_TEST_CASE(a_primary_that_half_of_those_heard_of_reach_is_kept) {
+    test::gateway_fleet fleet(6);
+    touch_all(fleet, 6);
+    const int steward = steward_of(fleet, 6);
+    std::vector<int> others;
+    for (int number = 1; number <= 6; ++number) {
+        if (number != steward) {
+            others.push_back(number);
+        }
+    }
+    for (const int cut_from_store : {others[3], others[4]}) {
+        fleet.m_store.m_turned_away.insert("i" + std::to_string(cut_from_store));
+        fleet.m_alone.insert("i" + std::to_string(cut_from_store));
+    }
+    fleet.run_for(8000ms);
+    for (const int cut_from_primary : {steward, others[0]}) {
+        fleet.m_upstreams.cut("i" + std::to_string(cut_from_primary), "orders-1");
+    }
+    for (int round = 0; round < 3; ++round) {
+        try_all(fleet, 6);
+        BOOST_TEST(writes(fleet, others[1], 100ms));
+    }
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 0);
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_that_vanished_is_waited_for_as_long_as_its_lease) {
     test::gateway_fleet fleet(4);
     touch_all(fleet, 4);
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -87,6 +87,33 @@
     BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::wait));
 }
 
+BOOST_AUTO_TEST_CASE(a_primary_that_half_of_the_instances_reach_stays) {
+    plan_view view = healthy();
+    view.m_steward_misses_primary = true;
+    view.m_members.assign(4, {.m_agreed = true});
+    view.m_members[0].m_misses_primary = true;
+    view.m_members[1].m_misses_primary = true;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::wait));
+    view.m_members[2].m_misses_primary = true;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::write_record));
+}
+
+BOOST_AUTO_TEST_CASE(instances_that_the_store_does_not_hear_do_not_judge_a_primary) {
+    // Two of six reach the store and miss the primary, two reach both, two are cut from the store.
+    plan_view view = healthy();
+    view.m_steward_misses_primary = true;
+    view.m_members.assign(6, {.m_agreed = true});
+    for (const std::size_t cut_from_primary : {0U, 1U}) {
+        view.m_members[cut_from_primary].m_misses_primary = true;
+    }
+    for (const std::size_t cut_from_store : {4U, 5U}) {
+        view.m_members[cut_from_store] = {.m_misses_primary = true, .m_heard_of = false};
+    }
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::wait));
+    view.m_members[2].m_misses_primary = true;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::write_record));
+}
+
 BOOST_AUTO_TEST_CASE(only_instances_with_connections_judge_a_primary) {
     plan_view view = healthy();
     view.m_steward_misses_primary = true;
