Rename libs/platform to libs/control_store

It is the PostgreSQL instance's client of its own platform, and was easily taken for platform/, the adapter to the users' platform.

--- a/libs/platform/include/anvilmount/platform/configuration_store.hpp
+++ b/libs/control_store/include/anvilmount/control_store/configuration_store.hpp
@@ -6,7 +6,7 @@
 /// move is lost, reading the row back tells whose change it holds.
 #pragma once
 
-#include "anvilmount/platform/platform_client.hpp"
+#include "anvilmount/control_store/control_store_client.hpp"
 
 #include <optional>
 #include <string>
@@ -35,7 +35,7 @@
 /// Applies a change and gives its revision. Errors: bad_configuration (1501),
 /// configuration_conflict (1502) when another change came first,
 /// platform_unavailable (1401) when it cannot be told what became of it.
-void apply_configuration(platform_client& platform, const configuration_change& change,
-                         platform_client::handler<std::uint64_t> on_done);
+void apply_configuration(control_store_client& platform, const configuration_change& change,
+                         control_store_client::handler<std::uint64_t> on_done);
 
 }
--- a/libs/platform/include/anvilmount/platform/platform_client.hpp
+++ b/libs/control_store/include/anvilmount/control_store/control_store_client.hpp
@@ -1,4 +1,4 @@
-/// \file platform_client.hpp
+/// \file control_store_client.hpp
 /// The platform's three services as an instance uses them: the transactional
 /// table, the object store and the list of instances. Every call may fail with
 /// platform_unavailable (1401), and a change that fails so may have taken
@@ -25,17 +25,17 @@
     nlohmann::json m_value;
 };
 
-struct platform_client_options {
+struct control_store_client_options {
     endpoint m_address;
     milliseconds m_timeout{2000};
 };
 
-class platform_client {
+class control_store_client {
 public:
     template <class Value>
     using handler = std::function<void(std::variant<Value, failure>)>;
 
-    platform_client(reactor& loop, const platform_client_options& options)
+    control_store_client(reactor& loop, const control_store_client_options& options)
         : m_options(options), m_http(loop, options.m_address) {}
 
     /// Reads a row; version 0 when there is none.
@@ -56,7 +56,7 @@
     void read_instances(handler<std::vector<instance_view>> on_instances);
 
 private:
-    platform_client_options m_options;
+    control_store_client_options m_options;
     http2_client m_http;
 };
 
--- a/libs/platform/src/configuration_record.cpp
+++ b/libs/control_store/src/configuration_record.cpp
@@ -1,5 +1,5 @@
 /// \file configuration_record.cpp
-#include "anvilmount/platform/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
 
 #include <set>
 
--- a/libs/platform/src/configuration_store.cpp
+++ b/libs/control_store/src/configuration_store.cpp
@@ -1,7 +1,7 @@
 /// \file configuration_store.cpp
-#include "anvilmount/platform/configuration_store.hpp"
+#include "anvilmount/control_store/configuration_store.hpp"
 
-#include "anvilmount/platform/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
 
 #include <memory>
 
@@ -16,8 +16,8 @@
 /// One change on its way; keeps itself alive through the callbacks.
 class change_in_progress : public std::enable_shared_from_this<change_in_progress> {
 public:
-    change_in_progress(platform_client& platform, configuration_change change,
-                       platform_client::handler<std::uint64_t> on_done)
+    change_in_progress(control_store_client& platform, configuration_change change,
+                       control_store_client::handler<std::uint64_t> on_done)
         : m_platform(platform), m_change(std::move(change)), m_on_done(std::move(on_done)) {}
 
     void start() {
@@ -107,9 +107,9 @@
                              " is in force; look at it and apply again"};
     }
 
-    platform_client& m_platform;
+    control_store_client& m_platform;
     configuration_change m_change;
-    platform_client::handler<std::uint64_t> m_on_done;
+    control_store_client::handler<std::uint64_t> m_on_done;
     revision_row m_next;
     int m_read_backs{0};
 };
@@ -131,8 +131,8 @@
                         .m_row_version = row.m_version};
 }
 
-void apply_configuration(platform_client& platform, const configuration_change& change,
-                         platform_client::handler<std::uint64_t> on_done) {
+void apply_configuration(control_store_client& platform, const configuration_change& change,
+                         control_store_client::handler<std::uint64_t> on_done) {
     if (auto refused = failure_of([&]() -> result<void> {
             BOOST_LEAF_CHECK(parse_configuration(change.m_text));
             return {};
--- a/libs/platform/src/platform_client.cpp
+++ b/libs/control_store/src/control_store_client.cpp
@@ -1,5 +1,5 @@
-/// \file platform_client.cpp
-#include "anvilmount/platform/platform_client.hpp"
+/// \file control_store_client.cpp
+#include "anvilmount/control_store/control_store_client.hpp"
 
 namespace anvilmount {
 namespace {
@@ -29,7 +29,7 @@
 
 /// Turns a raw answer into a value by `read`, which returns nothing when the body is wrong.
 template <class Value, class Read>
-http2_client::answer_handler reading(std::string what, platform_client::handler<Value> on_value,
+http2_client::answer_handler reading(std::string what, control_store_client::handler<Value> on_value,
                                      Read read) {
     return [what = std::move(what), on_value = std::move(on_value),
             read](std::variant<http2_answer, failure> got) {
@@ -95,7 +95,7 @@
 
 }
 
-void platform_client::read_row(const std::string& key, const handler<table_row>& on_row) {
+void control_store_client::read_row(const std::string& key, const handler<table_row>& on_row) {
     const auto missing_is_empty = [on_row](std::variant<table_row, failure> got) {
         const auto* broken = std::get_if<failure>(&got);
         if (broken != nullptr && broken->m_code == result_code::platform_not_found) {
@@ -108,8 +108,8 @@
                 reading<table_row>("row " + key, missing_is_empty, row_from));
 }
 
-void platform_client::write_row(const std::string& key, const table_row& expected_and_value,
-                                handler<std::uint64_t> on_written) {
+void control_store_client::write_row(const std::string& key, const table_row& expected_and_value,
+                                     handler<std::uint64_t> on_written) {
     const json body{{"expected_version", expected_and_value.m_version},
                     {"value", expected_and_value.m_value}};
     const auto version_of = [](const std::string& text) -> std::optional<std::uint64_t> {
@@ -120,22 +120,22 @@
                 reading<std::uint64_t>("row " + key, std::move(on_written), version_of));
 }
 
-void platform_client::read_object(const std::string& name, handler<std::string> on_object) {
+void control_store_client::read_object(const std::string& name, handler<std::string> on_object) {
     m_http.send({.m_method = "GET", .m_path = "/object/" + name}, m_options.m_timeout,
                 reading<std::string>("object " + name, std::move(on_object), [](const std::string& body) {
                     return std::optional<std::string>{body};
                 }));
 }
 
-void platform_client::write_object(const std::string& name, const std::string& bytes,
-                                   handler<std::monostate> on_written) {
+void control_store_client::write_object(const std::string& name, const std::string& bytes,
+                                        handler<std::monostate> on_written) {
     m_http.send({.m_method = "PUT", .m_path = "/object/" + name, .m_body = bytes}, m_options.m_timeout,
                 reading<std::monostate>("object " + name, std::move(on_written), [](const std::string&) {
                     return std::optional<std::monostate>{std::in_place};
                 }));
 }
 
-void platform_client::read_instances(handler<std::vector<instance_view>> on_instances) {
+void control_store_client::read_instances(handler<std::vector<instance_view>> on_instances) {
     m_http.send(
         {.m_method = "GET", .m_path = "/instances"}, m_options.m_timeout,
         reading<std::vector<instance_view>>("instance list", std::move(on_instances), instances_from));
--- a/libs/node/src/configuration_follower.cpp
+++ b/libs/node/src/configuration_follower.cpp
@@ -2,8 +2,8 @@
 #include "configuration_follower.hpp"
 
 #include "anvilmount/observe/event_log.hpp"
-#include "anvilmount/platform/configuration_record.hpp"
-#include "anvilmount/platform/configuration_store.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_store.hpp"
 
 namespace anvilmount {
 
@@ -13,7 +13,7 @@
 
 }
 
-configuration_follower::configuration_follower(reactor& loop, std::uint32_t seed, platform_client& platform,
+configuration_follower::configuration_follower(reactor& loop, std::uint32_t seed, control_store_client& platform,
                                                group_knowledge& knowledge, membership& members,
                                                follower_options options)
     : m_reactor(loop), m_random(seed), m_platform(platform), m_knowledge(knowledge), m_members(members),
--- a/libs/node/src/configuration_follower.hpp
+++ b/libs/node/src/configuration_follower.hpp
@@ -7,7 +7,7 @@
 #include "group_knowledge.hpp"
 #include "membership.hpp"
 
-#include "anvilmount/platform/platform_client.hpp"
+#include "anvilmount/control_store/control_store_client.hpp"
 
 #include <functional>
 #include <random>
@@ -20,7 +20,7 @@
 
 class configuration_follower {
 public:
-    configuration_follower(reactor& loop, std::uint32_t seed, platform_client& platform,
+    configuration_follower(reactor& loop, std::uint32_t seed, control_store_client& platform,
                            group_knowledge& knowledge, membership& members, follower_options options);
 
     /// Called in the loop's thread when a configuration has come into force.
@@ -38,7 +38,7 @@
 
     reactor& m_reactor;
     std::mt19937 m_random;
-    platform_client& m_platform;
+    control_store_client& m_platform;
     group_knowledge& m_knowledge;
     membership& m_members;
     follower_options m_options;
--- a/libs/node/src/instance.cpp
+++ b/libs/node/src/instance.cpp
@@ -66,7 +66,7 @@
     membership m_members;
     group_knowledge m_knowledge;
     cancel_registry m_cancels;
-    platform_client m_platform;
+    control_store_client m_platform;
     shard_list m_shards;
     home_directories m_homes;
     std::vector<std::unique_ptr<channel_opener>> m_openers;
--- a/libs/node/src/operator_service.cpp
+++ b/libs/node/src/operator_service.cpp
@@ -2,8 +2,8 @@
 #include "operator_service.hpp"
 
 #include "anvilmount/observe/event_log.hpp"
-#include "anvilmount/platform/configuration_record.hpp"
-#include "anvilmount/platform/configuration_store.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_store.hpp"
 
 #include <charconv>
 #include <optional>
@@ -79,7 +79,7 @@
                                      : "the other instance's answer cannot be read"};
 }
 
-operator_service::operator_service(reactor& loop, platform_client& platform, sources state,
+operator_service::operator_service(reactor& loop, control_store_client& platform, sources state,
                                    std::uint32_t seed)
     : m_reactor(loop), m_platform(platform), m_sources(std::move(state)), m_random(seed) {}
 
--- a/libs/node/src/operator_service.hpp
+++ b/libs/node/src/operator_service.hpp
@@ -11,7 +11,7 @@
 #pragma once
 
 #include "anvilmount/base/failure.hpp"
-#include "anvilmount/platform/platform_client.hpp"
+#include "anvilmount/control_store/control_store_client.hpp"
 #include "anvilmount/wire/http2_exchange.hpp"
 #include "anvilmount/wire/http2_server.hpp"
 
@@ -53,7 +53,7 @@
         std::function<void()> m_poll;
     };
 
-    operator_service(reactor& loop, platform_client& platform, sources state, std::uint32_t seed);
+    operator_service(reactor& loop, control_store_client& platform, sources state, std::uint32_t seed);
 
     /// Errors: listen_failed (1603).
     [[nodiscard]] result<void> listen(const endpoint& where);
@@ -67,7 +67,7 @@
     std::string new_change_id();
 
     reactor& m_reactor;
-    platform_client& m_platform;
+    control_store_client& m_platform;
     sources m_sources;
     std::mt19937_64 m_random;
     std::unique_ptr<http2_server> m_server;
--- a/test/error/configuration_record.cpp
+++ b/test/error/configuration_record.cpp
@@ -1,6 +1,6 @@
 /// \file configuration_record.cpp
 /// A bad record is refused whole, and the complaint names the field.
-#include "anvilmount/platform/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -4,7 +4,7 @@
 #include "anvilmount/decisions/session_token.hpp"
 #include "anvilmount/decisions/sql_tokens.hpp"
 #include "anvilmount/decisions/statement_class.hpp"
-#include "anvilmount/platform/configuration_record.hpp"
+#include "anvilmount/control_store/configuration_record.hpp"
 #include "anvilmount/wire/frame_codec.hpp"
 #include "anvilmount/wire/pg_boundary.hpp"
 #include "anvilmount/wire/pg_framing.hpp"
