Count log lines that a full pipe does not take

Cause: standard output is non-blocking and was written through a stream: a pipe that nobody reads cut a line and lost the following ones without a word (85 of 3,001 lines arrived, one of them cut, none counted). Change: an appender writes each line whole or not at all, finishes a line that was taken in part first, and the next line taken tells how many were lost.

--- a/libs/observe/src/event_log.cpp
+++ b/libs/observe/src/event_log.cpp
@@ -1,7 +1,8 @@
 /// \file event_log.cpp
 #include "anvilmount/observe/event_log.hpp"
 
-#include <log4cxx/consoleappender.h>
+#include "line_appender.hpp"
+
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
@@ -98,9 +99,8 @@
     if (options.m_to_standard_output) {
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     }
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, options.m_to_standard_output ? log4cxx::ConsoleAppender::getSystemOut()
-                                             : log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<line_appender>(
+        layout, options.m_to_standard_output ? STDOUT_FILENO : STDERR_FILENO);
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- /dev/null
+++ b/libs/observe/src/line_appender.cpp
@@ -0,0 +1,51 @@
+/// \file line_appender.cpp
+#include "line_appender.hpp"
+
+#include <log4cxx/helpers/pool.h>
+#include <log4cxx/helpers/transcoder.h>
+
+#include <unistd.h>
+
+namespace anvilmount {
+
+line_appender::line_appender(const log4cxx::LayoutPtr& layout, int fd) : m_fd(fd) {
+    setLayout(layout);
+}
+
+void line_appender::append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) {
+    log4cxx::LogString formatted;
+    getLayout()->format(formatted, event, pool);
+    LOG4CXX_ENCODE_CHAR(line, formatted);
+    if (m_dropped > 0 && write_line(R"({ "level": "WARN", "message": "log.lines_dropped", )"
+                                    R"("context_map": { "lines": ")" +
+                                    std::to_string(m_dropped) + "\" } }\n")) {
+        m_dropped = 0;
+    }
+    if (m_dropped > 0 || !write_line(line)) {
+        ++m_dropped;
+    }
+}
+
+/// Returns whether nothing of an earlier line is left.
+bool line_appender::finish_line() {
+    if (m_rest.empty()) {
+        return true;
+    }
+    const ssize_t written = ::write(m_fd, m_rest.data(), m_rest.size());
+    m_rest.erase(0, written > 0 ? static_cast<std::size_t>(written) : 0);
+    return m_rest.empty();
+}
+
+bool line_appender::write_line(std::string line) {
+    if (!finish_line()) {
+        return false;
+    }
+    const ssize_t written = ::write(m_fd, line.data(), line.size());
+    if (written <= 0) {
+        return false;
+    }
+    m_rest = line.substr(static_cast<std::size_t>(written));
+    return true;
+}
+
+}
