Let a steward without connections see that a primary is back

The steward held no connections of that group, which counted as missing the primary for good, so it went on with the change and waited for paused gateways. Ruled out: the store (the steward wrote another group's record meanwhile). Change: a steward that holds connections judges the return by its own, one that holds none by what most of the others report.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -44,9 +44,10 @@
     std::vector<plan_member> m_members{}; ///< Instances alive lately, the steward's own among them.
     bool m_members_current{true};         ///< As they were when m_record was known here, or later.
     steady_time m_record_seen_at{};       ///< When the steward first saw this record.
-    bool m_steward_misses_primary{false}; ///< Or has no connections to judge by.
-    bool m_registry_settled{true};        ///< What is not registered is gone.
-    bool m_primary_refuses{false};        ///< Its process does not run.
+    bool m_steward_misses_primary{false};
+    bool m_steward_holds{true};    ///< Has connections to judge by; else the others decide.
+    bool m_registry_settled{true}; ///< What is not registered is gone.
+    bool m_primary_refuses{false}; ///< Its process does not run.
 };
 
 struct plan_options {
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -14,13 +14,18 @@
 
 /// Returns whether most of the instances that can judge the primary cannot reach
 /// it. An instance that the store does not hear may well be serving from it.
-bool fleet_misses_primary(const plan_view& view) {
+bool most_miss_primary(const plan_view& view) {
     const auto judges = [](const plan_member& each) { return each.m_holds && each.m_heard_of; };
     const auto judging = std::count_if(view.m_members.begin(), view.m_members.end(), judges);
     const auto missing =
         std::count_if(view.m_members.begin(), view.m_members.end(),
                       [&](const plan_member& each) { return judges(each) && each.m_misses_primary; });
-    return view.m_steward_misses_primary && 2 * missing > judging;
+    return 2 * missing > judging;
+}
+
+/// Returns whether the steward has nothing against what the others find.
+bool steward_may_miss_primary(const plan_view& view) {
+    return view.m_steward_misses_primary || !view.m_steward_holds;
 }
 
 /// Returns whether no instance can go on using the old primary. One that refuses
@@ -120,7 +125,7 @@
         return begin_switch(view, true, now);
     }
     const bool gone = view.m_registry_settled && (primary == nullptr || !primary->m_registered);
-    if ((gone && view.m_steward_misses_primary) || fleet_misses_primary(view)) {
+    if (steward_may_miss_primary(view) && (gone || most_miss_primary(view))) {
         return begin_switch(view, false, now);
     }
     // It lives but no longer leads: another steward's order, or a restart as a replica.
@@ -157,9 +162,10 @@
         return {.m_step = plan_step::ask_status};
     }
     const plan_upstream* old = find(view, view.m_record.m_primary);
+    const bool reached = view.m_steward_holds ? !view.m_steward_misses_primary : !most_miss_primary(view);
     const bool old_is_back = old != nullptr && old->m_registered && !old->m_leaving &&
                              is_fresh(*old, now) && old->m_leads && old->m_term == view.m_record.m_term &&
-                             !view.m_steward_misses_primary;
+                             reached;
     if (!view.m_record.m_planned && !m_promoted_at && old_is_back) {
         // Nothing was ordered yet: going on with it loses no commit.
         group_record record = view.m_record;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -554,7 +554,8 @@
         work.m_seen_at = now;
     }
     view.m_record_seen_at = work.m_seen_at;
-    view.m_steward_misses_primary = group.misses_primary(missing_after) || !group.options().m_holds;
+    view.m_steward_misses_primary = group.misses_primary(missing_after);
+    view.m_steward_holds = group.options().m_holds;
     const auto primary = group.pools().find(view.m_record.m_primary);
     view.m_registry_settled = group.registry_settled();
     // An instance that began before the record changed is among these; a later one knows the record.
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -346,3 +346,30 @@
     fleet.run_for(200ms);
     touch_all(fleet, 3);
 }
+
+BOOST_AUTO_TEST_CASE(a_primary_is_replaced_while_sessions_elsewhere_take_all_connections) {
+    // 6 of 30 hold the group; the others serve sessions that no holder would take, a connection each.
+    test::gateway_fleet fleet(30);
+    fleet.run_for(3000ms);
+    const int steward = steward_of(fleet, 30);
+    BOOST_REQUIRE(fleet.instance(steward).relay_target("scan").has_value());
+    std::vector<std::unique_ptr<test::test_caller>> callers;
+    const auto send_everywhere = [&] {
+        callers.clear();
+        for (int number = 1; number <= 30; ++number) {
+            for (int each = 0; each < 3 && number != steward; ++each) {
+                callers.push_back(std::make_unique<test::test_caller>(fleet.instance(number), "scan"));
+                callers.back()->send(kind::read, "READ 1");
+            }
+        }
+        fleet.run_for(150ms);
+    };
+    for (int round = 0; round < 20; ++round) {
+        send_everywhere();
+    }
+    fleet.m_upstreams.at("orders-1").m_silent = true;
+    for (int round = 0; round < 40 && fleet.m_upstreams.m_promotions == 0; ++round) {
+        send_everywhere();
+    }
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+}
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -182,6 +182,23 @@
     BOOST_TEST(order.m_record.m_term == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_steward_without_connections_lets_the_others_say_that_the_primary_is_back) {
+    plan_view view = switching(false);
+    view.m_upstreams[0].m_status_at = start;
+    view.m_steward_holds = false;
+    view.m_members.assign(6, {.m_agreed = true, .m_misses_primary = true});
+    view.m_members[5].m_agreed = false;
+    view.m_members[0].m_holds = false;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::ask_status));
+    for (plan_member& each : view.m_members) {
+        each.m_misses_primary = false;
+    }
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::steady));
+    BOOST_TEST(order.m_record.m_primary.m_text == "a");
+}
+
 BOOST_AUTO_TEST_CASE(a_promotion_is_ordered_once_while_it_may_come_about) {
     plan_view view = switching(false);
     promotion_plan plan(options);
