--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -161,6 +161,7 @@
     bool m_registry_dirty{false};
     std::map<std::uint64_t, std::shared_ptr<caller_session>> m_sessions;
     std::map<std::uint64_t, relayed_caller> m_relayed;
+    bool m_stewards{false};                            ///< As last told to the groups.
     std::map<endpoint, steady_time> m_no_relay_before; ///< Instances that did not take a session.
     std::uint64_t m_next_session{1};
     std::map<std::pair<std::string, bool>, std::string> m_shared_names;
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -61,6 +61,7 @@
     holding_limits m_limits{};   ///< Of one upstream.
     int m_instances{1};          ///< That hold connections to this group.
     bool m_holds{true};          ///< This one does; else it opens one only when asked to.
+    bool m_stewards{false};      ///< Keeps one to each upstream all the same, to ask for its state.
 };
 
 class group_service {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -121,10 +121,11 @@
             .m_limits = limits,
             .m_instances = static_cast<int>(holders.size()),
             // Until the others are known a connection might take another instance's place.
-            .m_holds = m_coordinator.knows_members() &&
-                       std::any_of(holders.begin(), holders.end(), [&](const holder_candidate& each) {
-                           return each.m_name == m_options.m_name;
-                       })};
+            .m_holds =
+                m_coordinator.knows_members() &&
+                std::any_of(holders.begin(), holders.end(),
+                            [&](const holder_candidate& each) { return each.m_name == m_options.m_name; }),
+            .m_stewards = m_coordinator.is_steward()};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
@@ -312,6 +313,10 @@
     }
     look_at_members();
     m_coordinator.tick();
+    if (m_stewards != m_coordinator.is_steward()) {
+        m_stewards = m_coordinator.is_steward();
+        apply_groups();
+    }
     m_relay.tick();
     if (!m_early_callers.empty()) {
         admit_early_callers();
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -53,7 +53,7 @@
 
 pool_limits group_service::limits_for(const upstream_entry& entry) const {
     if (!m_options.m_holds) {
-        return {.m_connections = 1, .m_parallel = 1, .m_warm = 0};
+        return {.m_connections = 1, .m_parallel = 1, .m_warm = m_options.m_stewards ? 1 : 0};
     }
     const int share = m_one_connection_until
                           ? 1
@@ -181,7 +181,8 @@
     const auto pool = pool_of(m_record.m_primary);
     if (pool && m_options.m_holds && !pool->failing_since() &&
         m_clock.m_now() >= pool->heard_at() + life_sign_age) {
-        pool->ask_directly({.m_kind = outgoing_statement::kind::status}, [](const std::optional<answer>&) {});
+        pool->ask_directly({.m_kind = outgoing_statement::kind::status},
+                           [](const std::optional<answer>&) {});
     }
 }
 
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -373,3 +373,21 @@
     }
     BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
 }
+
+BOOST_AUTO_TEST_CASE(a_steward_keeps_a_connection_to_upstreams_of_groups_that_it_does_not_hold) {
+    test::gateway_fleet fleet(30);
+    fleet.run_for(12000ms);
+    const int steward = steward_of(fleet, 30);
+    for (int number = 1; number <= 30; ++number) {
+        if (!fleet.instance(number).relay_target("pay")) {
+            continue;
+        }
+        const auto dump = fleet.instance(number).state_dump();
+        for (const auto& [id, pool] : dump["groups"]["orders"]["pools"].items()) {
+            BOOST_TEST_CONTEXT("instance " << number << ", " << id) {
+                BOOST_TEST(pool["idle"].get<int>() == (number == steward ? 1 : 0));
+            }
+        }
+    }
+    BOOST_TEST(fleet.instance(steward).relay_target("pay").has_value());
+}
