--- a/libs/node/src/configuration_follower.cpp
+++ b/libs/node/src/configuration_follower.cpp
@@ -1,9 +1,9 @@
 /// \file configuration_follower.cpp
 #include "configuration_follower.hpp"
 
-#include "anvilmount/observe/event_log.hpp"
 #include "anvilmount/control_store/configuration_record.hpp"
 #include "anvilmount/control_store/configuration_store.hpp"
+#include "anvilmount/observe/event_log.hpp"
 
 namespace anvilmount {
 
@@ -13,9 +13,9 @@
 
 }
 
-configuration_follower::configuration_follower(reactor& loop, std::uint32_t seed, control_store_client& platform,
-                                               group_knowledge& knowledge, membership& members,
-                                               follower_options options)
+configuration_follower::configuration_follower(reactor& loop, std::uint32_t seed,
+                                               control_store_client& platform, group_knowledge& knowledge,
+                                               membership& members, follower_options options)
     : m_reactor(loop), m_random(seed), m_platform(platform), m_knowledge(knowledge), m_members(members),
       m_options(options) {
     poll_now();
--- a/libs/node/src/operator_service.cpp
+++ b/libs/node/src/operator_service.cpp
@@ -1,9 +1,9 @@
 /// \file operator_service.cpp
 #include "operator_service.hpp"
 
-#include "anvilmount/observe/event_log.hpp"
 #include "anvilmount/control_store/configuration_record.hpp"
 #include "anvilmount/control_store/configuration_store.hpp"
+#include "anvilmount/observe/event_log.hpp"
 
 #include <charconv>
 #include <optional>
--- a/libs/observe/src/event_log.cpp
+++ b/libs/observe/src/event_log.cpp
@@ -99,8 +99,8 @@
     if (options.m_to_standard_output) {
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     }
-    auto appender = std::make_shared<line_appender>(
-        layout, options.m_to_standard_output ? STDOUT_FILENO : STDERR_FILENO);
+    auto appender = std::make_shared<line_appender>(layout, options.m_to_standard_output ? STDOUT_FILENO
+                                                                                         : STDERR_FILENO);
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- a/test/fuzz/parsers.cpp
+++ b/test/fuzz/parsers.cpp
@@ -1,10 +1,10 @@
 /// \file parsers.cpp
 /// Every parser of outside bytes takes any bytes: it reads them or refuses
 /// them, and gives the same result however they are cut.
+#include "anvilmount/control_store/configuration_record.hpp"
 #include "anvilmount/decisions/session_token.hpp"
 #include "anvilmount/decisions/sql_tokens.hpp"
 #include "anvilmount/decisions/statement_class.hpp"
-#include "anvilmount/control_store/configuration_record.hpp"
 #include "anvilmount/wire/frame_codec.hpp"
 #include "anvilmount/wire/pg_boundary.hpp"
 #include "anvilmount/wire/pg_framing.hpp"
