--- a/standins/line_platform/line_upstreams.hpp
+++ b/standins/line_platform/line_upstreams.hpp
@@ -82,7 +82,6 @@
 
     [[nodiscard]] bool is_down(const std::string& id) const { return m_members.at(id).m_faults.m_down; }
     [[nodiscard]] bool leads(const std::string& id) const { return m_members.at(id).m_leads; }
-    [[nodiscard]] std::uint64_t term(const std::string& id) const { return m_members.at(id).m_term; }
     [[nodiscard]] const line_log& log(const std::string& id) const { return m_members.at(id).m_log; }
 
     /// The newest leader of a group, whether it runs or not.
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -222,8 +222,7 @@
     const planned next = m_plan.front();
     m_plan.pop_front();
     const std::string id = "q" + std::to_string(m_around.m_next_number++);
-    m_outstanding =
-        outstanding{.m_id = id, .m_text = next.m_text, .m_wire = next.m_wire, .m_sent_at = reactor::now()};
+    m_outstanding = outstanding{.m_id = id, .m_text = next.m_text, .m_sent_at = reactor::now()};
     m_around.m_ledger.sent({.m_id = id,
                             .m_text = next.m_text,
                             .m_session = m_session,
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -45,7 +45,6 @@
     struct outstanding {
         std::string m_id{};
         std::string m_text{};
-        std::string m_wire{};
         anvilmount::steady_time m_sent_at{};
         told_answer m_answer{};
         bool m_failed{false};
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -65,7 +65,6 @@
     [[nodiscard]] const std::vector<soak_route>& routes() const { return m_routes; }
     [[nodiscard]] const soak_options& options() const { return m_options; }
     [[nodiscard]] int upstreams() const { return static_cast<int>(m_upstream_ids.size()); }
-    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
 
 private:
     struct gateway_process {
