--- a/libs/base/include/anvilmount/base/settings.hpp
+++ b/libs/base/include/anvilmount/base/settings.hpp
@@ -23,6 +23,9 @@
 /// Returns a validator for integers in [least, greatest].
 [[nodiscard]] std::function<bool(const std::string&)> integer_between(long least, long greatest);
 
+/// Accepts decimal numbers from `least` to `greatest`.
+[[nodiscard]] std::function<bool(const std::string&)> decimal_between(double least, double greatest);
+
 /// Returns a validator for "IP:PORT"; it accepts an empty value if `may_be_empty`.
 [[nodiscard]] std::function<bool(const std::string&)> endpoint_text(bool may_be_empty);
 
--- a/libs/base/src/settings.cpp
+++ b/libs/base/src/settings.cpp
@@ -92,6 +92,15 @@
     };
 }
 
+std::function<bool(const std::string&)> decimal_between(double least, double greatest) {
+    return [least, greatest](const std::string& value) {
+        double number = 0;
+        const char* last = value.data() + value.size();
+        const auto [end, error] = std::from_chars(value.data(), last, number);
+        return error == std::errc{} && end == last && number >= least && number <= greatest;
+    };
+}
+
 std::function<bool(const std::string&)> endpoint_text(bool may_be_empty) {
     return [may_be_empty](const std::string& value) {
         if (value.empty()) {
--- a/libs/decisions/include/anvilmount/decisions/store_path.hpp
+++ b/libs/decisions/include/anvilmount/decisions/store_path.hpp
@@ -2,7 +2,8 @@
 /// Chooses how an instance reaches the metadata store: directly, over its own
 /// connections, or through a relay, another instance that sends the request for
 /// it. Each call to the store costs money, so in a large fleet one instance per
-/// data centre relays for all others there. In a small fleet an instance
+/// data centre relays for all others there: one of those with the largest
+/// processor share, since a relay carries the traffic of some fifty instances. In a small fleet an instance
 /// uses relays only when the store refuses its own connections.
 #pragma once
 
@@ -10,6 +11,7 @@
 #include "anvilmount/base/identifiers.hpp"
 #include "anvilmount/base/time.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -22,6 +24,7 @@
 struct store_relay_candidate {
     std::string m_name{};
     data_centre m_data_centre{};
+    std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core; 0: unknown.
     endpoint m_address{};
 };
 
@@ -36,7 +39,8 @@
 struct store_path_request {
     std::string m_self{}; ///< Name of the instance that needs a path.
     data_centre m_data_centre{};
-    bool m_prefers_direct{true}; ///< Relays are used only when the direct path fails.
+    std::uint32_t m_processor_millis{0}; ///< Of the instance itself.
+    bool m_prefers_direct{true};         ///< Relays are used only when the direct path fails.
     std::span<const store_relay_candidate> m_candidates{}; ///< May include the instance itself.
 };
 
--- a/libs/decisions/src/store_path.cpp
+++ b/libs/decisions/src/store_path.cpp
@@ -1,10 +1,12 @@
 /// \file store_path.cpp
-/// Orders the relays by rendezvous hashing, those of the same data centre first.
+/// Orders the relays: those of the same data centre first, then by processor share, then by
+/// rendezvous hashing.
 #include "anvilmount/decisions/store_path.hpp"
 
 #include "anvilmount/decisions/placement.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace anvilmount {
@@ -29,15 +31,18 @@
 std::vector<store_path> order_store_paths(const store_path_request& request) {
     std::vector<store_relay_candidate> others(request.m_candidates.begin(), request.m_candidates.end());
     std::erase_if(others, [&](const store_relay_candidate& each) { return each.m_name == request.m_self; });
-    const auto is_preferred = [&](const store_relay_candidate& left, const store_relay_candidate& right) {
-        const bool left_near = left.m_data_centre == request.m_data_centre;
-        const bool right_near = right.m_data_centre == request.m_data_centre;
-        return left_near != right_near ? left_near
-                                       : rendezvous_weight(left.m_name) > rendezvous_weight(right.m_name);
+    const auto rank = [&](const store_relay_candidate& each) {
+        return std::tuple(each.m_data_centre == request.m_data_centre, each.m_processor_millis,
+                          rendezvous_weight(each.m_name));
     };
-    std::sort(others.begin(), others.end(), is_preferred);
-    const bool is_relay = others.empty() || others.front().m_data_centre != request.m_data_centre ||
-                          rendezvous_weight(request.m_self) > rendezvous_weight(others.front().m_name);
+    std::sort(others.begin(), others.end(),
+              [&](const store_relay_candidate& left, const store_relay_candidate& right) {
+                  return rank(left) > rank(right);
+              });
+    const store_relay_candidate self{.m_name = request.m_self,
+                                     .m_data_centre = request.m_data_centre,
+                                     .m_processor_millis = request.m_processor_millis};
+    const bool is_relay = others.empty() || rank(self) > rank(others.front());
     others.resize(std::min(others.size(), max_relays));
     std::vector<store_path> order;
     order.reserve(others.size() + 1);
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -11,6 +11,7 @@
 #include "anvilmount/decisions/store_path.hpp"
 #include "anvilmount/gateway/fleet_membership.hpp"
 #include "anvilmount/gateway/group_service.hpp"
+#include "anvilmount/gateway/member_directory.hpp"
 #include "anvilmount/gateway/ports.hpp"
 #include "anvilmount/gateway/table_follower.hpp"
 
@@ -46,10 +47,11 @@
     endpoint m_forwarding_address{};
     endpoint m_store_relay_address{};
     data_centre m_data_centre{};
+    std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core.
     fleet_intervals m_small_fleet{};
     fleet_intervals m_large_fleet{.m_heartbeat_interval = milliseconds{3000},
                                   .m_poll_interval = milliseconds{10000},
-                                  .m_heartbeat_batch_delay = milliseconds{500}};
+                                  .m_heartbeat_batch_delay = milliseconds{1500}};
 };
 
 /// What the coordinator needs of the outside.
@@ -106,29 +108,19 @@
     [[nodiscard]] bool is_large_fleet() const;
 
     /// Whether the members have been polled since the start.
-    [[nodiscard]] bool knows_members() const { return m_members_polled_at != steady_time{}; }
+    [[nodiscard]] bool knows_members() const { return m_directory.is_loaded(); }
 
     /// Whether a poll has ever failed: the store is unavailable or refuses this instance.
     [[nodiscard]] bool has_poll_failed() const { return m_poll_failed; }
 
     /// When the newest known state of the members table was read.
-    [[nodiscard]] steady_time members_polled_at() const { return m_members_polled_at; }
+    [[nodiscard]] steady_time members_polled_at() const { return m_directory.read_at(); }
 
     /// The groups' records as followed here.
     [[nodiscard]] const table_follower& records() const { return m_records; }
     [[nodiscard]] bool has_records() const { return m_records.is_loaded(); }
 
 private:
-    /// An instance's row, and when this instance saw the row change.
-    struct member {
-        member_record m_record{};
-        std::uint64_t m_version{0};
-        steady_time m_changed_at{};
-        /// The process refused a probe since its last heartbeat.
-        bool m_process_ended{false};
-        steady_time m_probed_at{};
-    };
-
     /// The active coordinator's progress with one group.
     struct group_coordination {
         promotion_plan m_plan;
@@ -143,7 +135,7 @@
     void on_records();
     void adopt_group_record(const group_name& name, group_service& group);
     [[nodiscard]] const fleet_intervals& intervals() const;
-    [[nodiscard]] bool is_alive(const member& peer) const;
+    [[nodiscard]] bool is_alive(const known_member& peer) const;
     [[nodiscard]] member_record own_record() const;
     void heartbeat(milliseconds batch_delay);
     [[nodiscard]] bool has_urgent_report() const;
@@ -153,7 +145,10 @@
     void poll_members();
     void on_members(steady_time requested_at, const store_answer& reply);
     void probe_unreachable_primaries() const;
-    void apply_member_row(const store_row& row);
+    void adopt_coordinator_row();
+    void check_own_row();
+    void remove_stale_renewals();
+    [[nodiscard]] std::uint64_t own_acknowledged_version() const;
     /// Returns how many live instances take the active role before this one.
     [[nodiscard]] int successor_rank() const;
     [[nodiscard]] bool is_active_coordinator_gone();
@@ -168,19 +163,19 @@
     void write_record(const group_name& name, const group_record& record);
     void promote(const group_name& name, const upstream_id& target);
     void demote(group_service& group, const upstream_id& target, std::uint64_t term);
-    void probe(member& peer);
+    void probe(known_member& peer);
 
     coordinator_options m_options;
     coordinator_ports m_ports;
     confirmation_lease& m_lease;
     group_map& m_groups;
     metrics& m_metrics;
+    member_directory m_directory;
     table_follower m_records;
+    /// Per group, the version of the records table's row that was last adopted here.
+    std::map<group_name, std::uint64_t> m_adopted_row_versions;
     /// Per group, the epoch of the newest record that this instance has acknowledged.
     std::map<group_name, std::uint64_t> m_own_acknowledged_epochs;
-    std::map<std::string, member> m_members;
-    /// When the store was read for the newest answered poll.
-    steady_time m_members_polled_at{};
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
     /// Version of the newest change of any record, as far as known.
     std::uint64_t m_records_head{0};
@@ -191,6 +186,9 @@
     bool m_heartbeat_in_flight{false};
     /// As last stored.
     std::optional<member_record> m_reported_record;
+    std::uint64_t m_renewal_count{0}; ///< Of heartbeats that did not repeat the record.
+    steady_time m_report_whole_record_until{};
+    steady_time m_next_removal{}; ///< Of stale rows in which renewals were published.
     steady_time m_next_poll{};
     bool m_poll_in_flight{false};
     /// At least once.
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -1,13 +1,14 @@
 /// \file fleet_membership.hpp
 /// The records that instances exchange through the metadata store, and their JSON form: one row per
 /// instance (its addresses, the epochs it has acknowledged and the primaries it cannot reach), the
-/// active coordinator and the record of each group. No record is needed to serve requests while the
-/// store is unavailable.
+/// active coordinator, the record of each group, and the heartbeats that a relay has published for
+/// others. No record is needed to serve requests while the store is unavailable.
 #pragma once
 
 #include "anvilmount/base/endpoint.hpp"
 #include "anvilmount/base/identifiers.hpp"
 #include "anvilmount/decisions/group_record.hpp"
+#include "anvilmount/decisions/lease_renewals.hpp"
 
 #include <cstdint>
 #include <map>
@@ -17,6 +18,17 @@
 
 namespace anvilmount::gateway {
 
+inline const std::string members_table = "anvilmount_members";
+inline const std::string member_prefix = "member/";
+inline const std::string coordinator_key = "steward";
+
+/// Written with each change of a group's record, so that a heartbeat can be made on the condition that
+/// the records known here are the newest.
+inline const std::string records_head_key = "records";
+
+/// Prefix of the rows in which relays publish renewals; each process that relays has one row.
+inline const std::string renewals_prefix = "renewals/";
+
 /// The row of one instance in the members table. An instance acknowledges the epoch of a group's
 /// record once it uses no primary that the record replaces.
 struct member_record {
@@ -30,7 +42,13 @@
     endpoint m_store_relay_address{};
     data_centre m_data_centre{};
     bool m_leaving{false}; ///< The instance is draining: it accepts no new sessions.
-    /// Per group, the epoch of the newest record that the instance has acknowledged.
+    /// Processor share, in thousandths of a core; 0: unknown.
+    std::uint32_t m_processor_millis{0};
+    /// Version of the records table up to which all records are acknowledged; unset in rows of
+    /// versions that report m_acknowledged_epochs only.
+    std::optional<std::uint64_t> m_acknowledged_version{};
+    /// Per group, the epoch of the newest acknowledged record, for instances of versions that do not
+    /// know m_acknowledged_version.
     std::map<group_name, std::uint64_t> m_acknowledged_epochs{};
     /// Groups whose primary does not answer this instance.
     std::set<group_name> m_unreachable_primaries{};
@@ -50,10 +68,12 @@
 [[nodiscard]] std::string to_text(const member_record& record);
 [[nodiscard]] std::string to_text(const coordinator_record& record);
 [[nodiscard]] std::string to_text(const group_record& record);
+[[nodiscard]] std::string to_text(const renewal_counts& counts);
 
 /// Returns nothing when the text is not a record of this type.
 [[nodiscard]] std::optional<member_record> parse_member_record(const std::string& text);
 [[nodiscard]] std::optional<coordinator_record> parse_coordinator_record(const std::string& text);
 [[nodiscard]] std::optional<group_record> parse_group_record(const std::string& text);
+[[nodiscard]] std::optional<renewal_counts> parse_renewal_counts(const std::string& text);
 
 }
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -31,6 +31,7 @@
     endpoint m_store_relay_address{};
     /// Where the store may be reached through other instances before any instance is known.
     std::vector<endpoint> m_seed_relays{};
+    std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core; 0: unknown.
     milliseconds m_lease{10000};
     std::size_t m_max_sessions{3000};
 };
--- /dev/null
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -0,0 +1,85 @@
+/// \file member_directory.hpp
+/// What this instance knows of the members table: the records of all instances and when each last
+/// gave a sign of life, the row of the active coordinator, and the version of the newest record
+/// change. The directory takes in whole tables and deltas, over any path, and ignores answers that
+/// are older than what it knows.
+#pragma once
+
+#include "anvilmount/decisions/lease_renewals.hpp"
+#include "anvilmount/gateway/fleet_membership.hpp"
+#include "anvilmount/gateway/ports.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace anvilmount::gateway {
+
+/// An instance's record, and when this instance last saw a heartbeat of it.
+struct known_member {
+    member_record m_record{};
+    std::uint64_t m_version{0};
+    /// Later than the heartbeat itself by up to a poll interval, never earlier.
+    steady_time m_heartbeat_seen_at{};
+    /// The process refused a probe since its last heartbeat.
+    bool m_process_ended{false};
+    steady_time m_probed_at{};
+};
+
+class member_directory {
+public:
+    explicit member_directory(std::string own_name) : m_own_key(member_prefix + own_name) {}
+
+    /// Takes in an answer of the store that was read at `as_of`. Returns whether it was applied; one
+    /// older than the newest applied is not.
+    bool apply(const store_answer& reply, steady_time as_of, steady_time now);
+
+    /// All instances, this one included once it is registered. Key: row key.
+    [[nodiscard]] std::map<std::string, known_member>& members() { return m_members; }
+    [[nodiscard]] const std::map<std::string, known_member>& members() const { return m_members; }
+
+    /// When the newest applied answer was read; the epoch of the clock before the first.
+    [[nodiscard]] steady_time read_at() const { return m_read_at; }
+    [[nodiscard]] bool is_loaded() const { return m_loaded; }
+    /// Version of the store as known here; 0 before the first answer, and of an empty store.
+    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    /// Whether the first answer listed this instance: its process was restarted, and the instances
+    /// that were registered before are known.
+    [[nodiscard]] bool was_registered() const { return m_was_registered; }
+
+    /// The active coordinator's row; nothing while there is none.
+    [[nodiscard]] const std::optional<store_row>& coordinator_row() const { return m_coordinator_row; }
+    /// Version of the newest change of any group's record, as far as the members table tells.
+    [[nodiscard]] std::uint64_t records_head() const { return m_records_head; }
+
+    /// Returns the rows of published renewals that have not changed for `duration`: the processes
+    /// that wrote them no longer relay.
+    [[nodiscard]] std::vector<store_row> stale_renewal_rows(milliseconds duration, steady_time now) const;
+
+private:
+    struct renewal_row {
+        std::uint64_t m_version{0};
+        steady_time m_changed_at{};
+    };
+
+    void remove_unlisted(const store_answer& reply);
+    void remove(const std::string& key);
+    void apply_row(const store_row& row, steady_time now);
+    void apply_member(const store_row& row, steady_time now);
+    void apply_renewals(const store_row& row, steady_time now);
+
+    std::string m_own_key;
+    std::map<std::string, known_member> m_members;
+    std::map<std::string, renewal_row> m_renewal_rows; ///< Key: row key.
+    observed_renewals m_renewals;
+    std::optional<store_row> m_coordinator_row;
+    std::uint64_t m_records_head{0};
+    std::uint64_t m_version{0};
+    steady_time m_read_at{};
+    bool m_loaded{false};
+    bool m_was_registered{false};
+};
+
+}
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -105,6 +105,17 @@
     std::vector<store_row> m_rows{};
     std::uint64_t m_version{0}; ///< Newest version in the store when it answered.
     milliseconds m_age{0};      ///< Time since the store was read; above 0 only for relayed answers.
+    /// m_rows holds only the rows that changed after the version asked for, removed ones included.
+    /// Otherwise m_rows is the whole table.
+    bool m_is_delta{false};
+    bool m_renewed{false}; ///< The change included the requested lease_renewal.
+};
+
+/// A heartbeat of an instance whose member record is stored already. A relay publishes the counts of
+/// all the instances that it serves in one row.
+struct lease_renewal {
+    std::string m_incarnation{};
+    std::uint64_t m_count{0}; ///< From 1; rises with each heartbeat of the incarnation.
 };
 
 /// An atomic change: it is applied as a whole, or not at all if an expected version differs.
@@ -112,6 +123,7 @@
     std::vector<store_row> m_expected{}; ///< Preconditions; only table, key and version are compared.
     std::vector<store_row> m_writes{};
     std::vector<store_row> m_removals{};
+    std::optional<lease_renewal> m_renewal{};
     /// How long the change may wait to be batched with changes of other instances.
     milliseconds m_max_batch_delay{0};
 };
@@ -121,6 +133,9 @@
 /// The metadata store: snapshots of tables, atomic changes and watches.
 struct store_port {
     std::function<void(const std::string& table, store_callback)> m_read_table{};
+    /// Answers at once with the rows of `table` that changed after `version`. The answer is either a
+    /// delta or, when the changes since `version` are not known, the whole table or history_gone.
+    std::function<void(const std::string& table, std::uint64_t version, store_callback)> m_read_changes{};
     std::function<void(const store_change&, store_callback)> m_change{};
     /// Answers once a row of `table` has changed after `version`, or with no rows after `wait`.
     std::function<void(const std::string& table, std::uint64_t version, milliseconds wait, store_callback)>
--- a/libs/gateway/include/anvilmount/gateway/store_access.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_access.hpp
@@ -33,11 +33,21 @@
     /// Sets the paths to the store, the preferred one first.
     void set_order(std::vector<store_path> order) { m_choice.set_order(std::move(order)); }
 
+    /// Sends the watches that were held back. A watch keeps its path for seconds, so the first ones
+    /// wait until it is known whether another instance relays.
+    void release_watches();
+
     using change_batcher = std::function<void(const store_change&, const store_callback&)>;
 
-    /// Direct changes that may wait are passed to `batcher`.
+    /// Direct changes that may wait, and renewals, are passed to `batcher`.
     void set_change_batcher(change_batcher batcher) { m_batch_change = std::move(batcher); }
 
+    using change_reader = std::function<void(const read_question&, const store_callback&)>;
+
+    /// Direct reads of the changes after a version are passed to `reader`, which shares one copy of
+    /// the table with the reads of other instances.
+    void set_change_reader(change_reader reader) { m_read_changes = std::move(reader); }
+
     /// Prefers the direct path until `until`, because other instances' requests are relayed here.
     void prefer_direct_until(steady_time until) { m_prefer_direct_until = until; }
 
@@ -50,6 +60,12 @@
     }
 
 private:
+    /// A watch that was requested before the paths were known.
+    struct held_watch {
+        follow_question m_request{};
+        store_callback m_done{};
+    };
+
     void send(const store_question& request, const std::string& table, const store_callback& done);
     void send_direct(const store_question& request, const store_callback& done);
     void send_relayed(const endpoint& relay, const store_question& request, const store_callback& done);
@@ -61,7 +77,10 @@
     metrics& m_metrics;
     store_port m_port;
     change_batcher m_batch_change;
+    change_reader m_read_changes;
     store_path_selector m_choice;
+    bool m_holds_watches{true};
+    std::vector<held_watch> m_held_watches;
     steady_time m_prefer_direct_until{};
     /// See is_read_directly().
     std::set<std::string> m_directly_read_tables;
--- a/libs/gateway/include/anvilmount/gateway/store_questions.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_questions.hpp
@@ -12,9 +12,10 @@
 
 namespace anvilmount::gateway {
 
-/// Reads a snapshot of a table.
+/// Reads a table, or its changes after a version.
 struct read_question {
     std::string m_table{};
+    std::uint64_t m_after_version{0}; ///< 0: the whole table is read.
 };
 
 /// Waits for changes of a table after a version.
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -1,10 +1,13 @@
 /// \file store_relay.hpp
 /// Relays other instances' requests to the metadata store, so that one store call serves many
-/// instances. Reads and watches of followed tables are answered from local copies, and changes made
-/// under the same conditions are batched.
+/// instances. Reads and watches are answered from local copies, and as deltas where the requester
+/// says what it has seen. Changes made under the same conditions are batched, and the lease renewals
+/// among them are published in one row.
 #pragma once
 
+#include "anvilmount/decisions/lease_renewals.hpp"
 #include "anvilmount/gateway/store_access.hpp"
+#include "anvilmount/gateway/table_copy.hpp"
 #include "anvilmount/gateway/table_follower.hpp"
 
 #include <functional>
@@ -22,8 +25,9 @@
     using responder = std::function<void(std::optional<std::string>)>;
 
     /// `direct` reaches the store over this instance's own connections: a request is never relayed
-    /// twice.
-    store_relay(const clock_port& clock, const store_port& direct, store_access& access, metrics& counters);
+    /// twice. `renewals` names the row in which renewals are published; no other process writes it.
+    store_relay(const clock_port& clock, const store_port& direct, store_access& access, metrics& counters,
+                store_row renewals);
     ~store_relay() = default;
     store_relay(const store_relay&) = delete;
     store_relay& operator=(const store_relay&) = delete;
@@ -45,26 +49,46 @@
         store_callback m_done{};
     };
 
+    /// Who asked for a part of a batch.
+    struct requester {
+        bool m_renews{false};
+        store_callback m_done{};
+    };
+
     /// Changes that are made as a whole or not at all.
     struct change_batch {
         store_change m_change{};
+        std::vector<lease_renewal> m_renewals{};
         steady_time m_due{};
-        std::vector<store_callback> m_done{};
+        std::vector<requester> m_requesters{};
+    };
+
+    /// A read that waits for the answer of the store.
+    struct waiting_reader {
+        read_question m_request{};
+        steady_time m_since{};
+        store_callback m_done{};
     };
 
-    /// A table without a local copy, as last read.
-    struct cached_table {
-        steady_time m_requested_at{};
-        store_answer m_answer{};
+    /// A table that is not followed. It is read when someone asks for it, once for all that ask meanwhile.
+    struct polled_table {
+        table_copy m_copy{};
+        steady_time m_read_at{};                     ///< When the copy was requested from the store.
+        std::optional<steady_time> m_requested_at{}; ///< Set while a request is in flight.
+        std::vector<waiting_reader> m_waiting{};
     };
 
     /// Returns the local copy of the table; nullptr when there is none, it is not current or it is
     /// itself read through a relay.
     [[nodiscard]] const table_follower* usable_copy(const std::string& table) const;
-    void read(const read_question& request, const store_callback& done);
+    /// Answers from a copy that is at most `max_age` old, or after a read of the store.
+    void read(const read_question& request, milliseconds max_age, const store_callback& done);
+    void refresh(const std::string& name, polled_table& table);
+    void on_refreshed(const std::string& name, const store_answer& reply);
+    [[nodiscard]] static store_answer answer_from(const table_copy& copy, const read_question& request);
     void follow(const follow_question& request, const store_callback& done);
     /// Returns the answer to a watch when there is one by now.
-    [[nodiscard]] static std::optional<store_answer> changes_since(const table_follower& copy,
+    [[nodiscard]] static std::optional<store_answer> changes_since(const table_copy& copy,
                                                                    const follow_question& request);
     void change(const store_change& request, const store_callback& done);
     void send_due_batch();
@@ -74,8 +98,9 @@
     store_access& m_access;
     metrics& m_metrics;
     std::map<std::string, const table_follower*> m_copies;
-    /// Tables without a copy.
-    std::map<std::string, cached_table> m_cached;
+    std::map<std::string, polled_table> m_polled;
+    store_row m_renewal_row;
+    published_renewals m_renewals;
     std::list<waiting_follower> m_followers;
     std::list<change_batch> m_batches;
     bool m_change_in_flight{false}; ///< One at a time.
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "anvilmount/gateway/ports.hpp"
+#include "anvilmount/gateway/table_copy.hpp"
 
 #include <functional>
 #include <map>
@@ -38,13 +39,10 @@
 
     [[nodiscard]] const std::string& table() const { return m_options.m_table; }
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
+    [[nodiscard]] const table_copy& copy() const { return m_copy; }
     /// Version of the store up to which the copy is current.
-    [[nodiscard]] std::uint64_t version() const { return m_version; }
-    /// Version of the newest row applied.
-    [[nodiscard]] std::uint64_t newest_row_version() const { return m_newest_row_version; }
-    /// Version up to which rows may have existed that are removed by now.
-    [[nodiscard]] std::uint64_t last_removal_version() const { return m_last_removal_version; }
-    [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_rows; }
+    [[nodiscard]] std::uint64_t version() const { return m_copy.version(); }
+    [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_copy.rows(); }
 
     /// Since when requests have gone unanswered or been refused; unset while the store answers.
     [[nodiscard]] std::optional<steady_time> unavailable_since() const { return m_unavailable_since; }
@@ -55,19 +53,13 @@
     void send_request(bool snapshot);
     void on_answer(bool snapshot, const store_answer& reply);
     void request_next();
-    bool apply_row(const store_row& row);
-    bool apply_snapshot(const store_answer& reply);
     void retry_later();
 
     options m_options;
     const clock_port& m_clock;
     const store_port& m_store;
     change_handler m_on_change;
-    /// Key: row key.
-    std::map<std::string, store_row> m_rows;
-    std::uint64_t m_version{0};
-    std::uint64_t m_last_removal_version{0};
-    std::uint64_t m_newest_row_version{0};
+    table_copy m_copy;
     bool m_loaded{false};
     bool m_snapshot_in_flight{false};
     /// Of the newest request; answers to older ones are ignored.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -4,6 +4,7 @@
 #include "anvilmount/gateway/fleet_coordinator.hpp"
 
 #include "anvilmount/decisions/placement.hpp"
+#include "anvilmount/decisions/record_acknowledgement.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -14,13 +15,6 @@
 namespace {
 
 const std::string records_table = "anvilmount_groups";
-const std::string members_table = "anvilmount_members";
-const std::string member_prefix = "member/";
-const std::string coordinator_key = "steward";
-
-/// Written with each change of a record, so that a heartbeat can be made on the condition that the
-/// records known here are the newest.
-const std::string records_head_key = "records";
 
 /// From this size on, saving store calls matters more than the seconds that frequent calls save.
 constexpr std::size_t large_fleet_size = 24;
@@ -30,9 +24,22 @@
 
 constexpr milliseconds heartbeat_retry_delay{400};
 
-/// Many instances of a large fleet may start at once, as after a power failure. Their first
-/// heartbeats wait this long to be batched.
-constexpr milliseconds first_heartbeat_batch_delay{120};
+/// Until the first heartbeat has succeeded, nothing is served at primaries here.
+constexpr milliseconds first_heartbeat_retry_delay{100};
+
+/// The store may still apply a heartbeat that was not answered, and overwrite a newer record. For this
+/// long after it, heartbeats repeat the whole record.
+constexpr milliseconds late_change_time{10000};
+
+/// A row of published renewals that has not changed for this long, several leases, is removed.
+constexpr milliseconds stale_renewals_time{60000};
+
+/// The store accepts at most 100 entries in one change.
+constexpr std::size_t max_removed_rows = 40;
+
+/// Many instances of a large fleet may start at once, as after a power failure, or lose their relay.
+/// Their first heartbeats, and those that follow a failed one, wait this long to be batched.
+constexpr milliseconds urgent_batch_delay{120};
 
 /// An instance whose row has not changed for this many heartbeat intervals, plus the greatest
 /// latency of a heartbeat and one poll interval, no longer counts for shares of connections.
@@ -75,13 +82,25 @@
 /// top of the time after which a pool calls the primary silent.
 constexpr milliseconds primary_unreachable_delay{150};
 
+/// Whether `member` has acknowledged the record of `group` that has `epoch` and is stored as
+/// `record_version`.
+bool has_acknowledged(const member_record& member, const group_name& group, std::uint64_t epoch,
+                      std::uint64_t record_version) {
+    if (member.m_acknowledged_version) {
+        return record_version > 0 && *member.m_acknowledged_version >= record_version;
+    }
+    const auto found = member.m_acknowledged_epochs.find(group);
+    return found != member.m_acknowledged_epochs.end() && found->second >= epoch;
+}
+
 }
 
 fleet_coordinator::fleet_coordinator(coordinator_options options, coordinator_ports ports,
                                      confirmation_lease& lease, group_map& groups, metrics& counters)
     : m_options(std::move(options)), m_ports(std::move(ports)), m_lease(lease), m_groups(groups),
-      m_metrics(counters), m_records({.m_table = records_table}, *m_ports.m_clock, *m_ports.m_store,
-                                     [this](const auto&) { on_records(); }) {}
+      m_metrics(counters), m_directory(m_options.m_name),
+      m_records({.m_table = records_table}, *m_ports.m_clock, *m_ports.m_store,
+                [this](const auto&) { on_records(); }) {}
 
 void fleet_coordinator::start() {
     m_records.start();
@@ -114,6 +133,24 @@
     return conditions;
 }
 
+/// Reports the records as acknowledged up to the first one whose old primary may still be in use here.
+/// A record of a group that is not configured here concerns no connection of this instance.
+std::uint64_t fleet_coordinator::own_acknowledged_version() const {
+    std::vector<record_state> states;
+    for (const auto& [key, row] : m_records.rows()) {
+        const group_name name{key};
+        const auto group = m_groups.find(name);
+        const auto adopted = m_adopted_row_versions.find(name);
+        const auto own = m_own_acknowledged_epochs.find(name);
+        const bool acknowledged =
+            group == m_groups.end() ||
+            (adopted != m_adopted_row_versions.end() && adopted->second == row.m_version &&
+             own != m_own_acknowledged_epochs.end() && own->second >= group->second->record().m_epoch);
+        states.push_back({.m_version = row.m_version, .m_acknowledged = acknowledged});
+    }
+    return acknowledged_version(states);
+}
+
 void fleet_coordinator::adopt_group_record(const group_name& name, group_service& group) {
     const auto row = m_records.rows().find(name.m_text);
     if (row == m_records.rows().end()) {
@@ -125,6 +162,7 @@
         return;
     }
     const std::uint64_t epoch = record->m_epoch;
+    m_adopted_row_versions[name] = row->second.m_version;
     group.adopt_record(*record, [this, name, epoch] { m_own_acknowledged_epochs[name] = epoch; });
 }
 
@@ -136,7 +174,15 @@
                          .m_store_relay_address = m_options.m_store_relay_address,
                          .m_data_centre = m_options.m_data_centre,
                          .m_leaving = m_resigned,
-                         .m_acknowledged_epochs = m_own_acknowledged_epochs};
+                         .m_processor_millis = m_options.m_processor_millis,
+                         .m_acknowledged_version = own_acknowledged_version()};
+    const bool serves_older_version =
+        std::any_of(m_directory.members().begin(), m_directory.members().end(), [&](const auto& each) {
+            return !each.second.m_record.m_acknowledged_version && is_alive(each.second);
+        });
+    if (serves_older_version) {
+        record.m_acknowledged_epochs = m_own_acknowledged_epochs;
+    }
     for (const auto& [name, group] : m_groups) {
         if (group->is_primary_unreachable(primary_unreachable_delay)) {
             record.m_unreachable_primaries.insert(name);
@@ -160,21 +206,33 @@
     const member_record record = own_record();
     const bool renews = m_is_active;
     store_change change{.m_expected = heartbeat_conditions(renews),
-                        .m_writes = {{.m_table = members_table,
-                                      .m_key = member_prefix + m_options.m_name,
-                                      .m_value = to_text(record)}},
                         .m_max_batch_delay = renews ? milliseconds{0} : batch_delay};
+    if (!renews && m_reported_record == record && now >= m_report_whole_record_until) {
+        change.m_renewal =
+            lease_renewal{.m_incarnation = m_options.m_incarnation, .m_count = ++m_renewal_count};
+    } else {
+        change.m_writes.push_back({.m_table = members_table,
+                                   .m_key = member_prefix + m_options.m_name,
+                                   .m_value = to_text(record)});
+    }
     if (renews) {
         change.m_writes.push_back(
             {.m_table = members_table, .m_key = coordinator_key, .m_value = to_text(m_coordinator_record)});
     }
-    m_ports.m_store->m_change(change, [this, now, record, renews](const store_answer& reply) {
-        if (reply.m_status == store_status::done) {
-            m_reported_record = record;
-        }
-        m_coordinator_write_in_flight = m_coordinator_write_in_flight && !renews;
-        on_heartbeat(now, renews, reply);
-    });
+    m_ports.m_store->m_change(
+        change, [this, now, record, renews, is_renewal = change.m_renewal.has_value()](store_answer reply) {
+            if (is_renewal && reply.m_status == store_status::done && !reply.m_renewed) {
+                // The relay is of a version that does not publish renewals.
+                reply.m_status = store_status::refused;
+            }
+            if (reply.m_status == store_status::done) {
+                m_reported_record = record;
+            } else if (reply.m_status != store_status::conflict) {
+                m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
+            }
+            m_coordinator_write_in_flight = m_coordinator_write_in_flight && !renews;
+            on_heartbeat(now, renews, reply);
+        });
 }
 
 void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply) {
@@ -186,7 +244,8 @@
     if (reply.m_status != store_status::done) {
         m_metrics.count("heartbeats_failed");
         m_last_heartbeat_failed = true;
-        m_next_heartbeat = m_ports.m_clock->m_now() + heartbeat_retry_delay;
+        m_next_heartbeat = m_ports.m_clock->m_now() +
+                           (m_last_heartbeat_at ? heartbeat_retry_delay : first_heartbeat_retry_delay);
         if (m_is_active && renewed) {
             // Whether the row changed is unknown; the next poll shows it.
             step_down();
@@ -251,16 +310,20 @@
     const bool polls_often = m_is_active || successor_rank() < frequently_polling_successors;
     milliseconds poll_delay =
         polls_often ? m_options.m_small_fleet.m_poll_interval : intervals().m_poll_interval;
-    if (m_startup_polls < startup_poll_delays.size()) {
+    if (m_startup_polls < startup_poll_delays.size() && !m_directory.was_registered()) {
         poll_delay = std::min(poll_delay, startup_poll_delays.at(m_startup_polls));
         ++m_startup_polls;
     }
     m_next_poll = m_ports.m_clock->m_now() + poll_delay;
-    m_ports.m_store->m_read_table(
-        members_table, [this, requested_at = m_ports.m_clock->m_now()](const store_answer& reply) {
-            m_poll_in_flight = false;
-            on_members(requested_at, reply);
-        });
+    const auto on_reply = [this, requested_at = m_ports.m_clock->m_now()](const store_answer& reply) {
+        m_poll_in_flight = false;
+        on_members(requested_at, reply);
+    };
+    if (m_directory.version() > 0) {
+        m_ports.m_store->m_read_changes(members_table, m_directory.version(), on_reply);
+    } else {
+        m_ports.m_store->m_read_table(members_table, on_reply);
+    }
 }
 
 void fleet_coordinator::on_members(steady_time requested_at, const store_answer& reply) {
@@ -272,56 +335,82 @@
         }
         return;
     }
-    const steady_time as_of = requested_at - reply.m_age;
-    // A relay may answer with a read from before the last poll here, which lacks instances that
-    // have registered since.
-    if (as_of < m_members_polled_at) {
+    const bool is_first = !m_directory.is_loaded();
+    if (!m_directory.apply(reply, requested_at - reply.m_age, m_ports.m_clock->m_now())) {
         return;
     }
-    m_members_polled_at = as_of;
-    bool has_coordinator_row = false;
-    std::map<std::string, member> kept;
-    for (const store_row& row : reply.m_rows) {
-        if (row.m_key == coordinator_key) {
-            has_coordinator_row = true;
-            const auto record = parse_coordinator_record(row.m_value);
-            if (record && row.m_version >= m_coordinator_version) {
-                const bool is_own = record->m_holder == m_options.m_name &&
-                                    record->m_incarnation == m_options.m_incarnation;
-                m_coordinator_record = *record;
-                if (row.m_version > m_coordinator_version) {
-                    m_coordinator_version = row.m_version;
-                    m_coordinator_changed_at = m_ports.m_clock->m_now();
-                }
-                if (m_is_active && !is_own) {
-                    step_down();
-                }
-                if (!m_is_active && is_own && !m_resigned) {
-                    m_is_active = true;
-                }
-            }
-        } else if (row.m_key == records_head_key) {
-            m_records_head = std::max(m_records_head, row.m_version);
-        } else if (row.m_key.starts_with(member_prefix)) {
-            apply_member_row(row);
-            kept.insert(m_members.extract(row.m_key));
-        }
+    if (is_first && m_directory.was_registered()) {
+        // The instances that were registered before are known; the startup polls are not needed.
+        m_next_poll = requested_at + intervals().m_poll_interval;
     }
-    m_members = std::move(kept);
-    if (!has_coordinator_row) {
+    adopt_coordinator_row();
+    check_own_row();
+    m_records_head = std::max(m_records_head, m_directory.records_head());
+    probe_unreachable_primaries();
+    try_become_active();
+    if (m_is_active) {
+        remove_stale_renewals();
+    }
+}
+
+void fleet_coordinator::adopt_coordinator_row() {
+    const auto& row = m_directory.coordinator_row();
+    if (!row) {
         m_coordinator_version = 0;
         m_coordinator_changed_at = {};
+        return;
+    }
+    const auto record = parse_coordinator_record(row->m_value);
+    if (!record || row->m_version < m_coordinator_version) {
+        return;
+    }
+    const bool is_own =
+        record->m_holder == m_options.m_name && record->m_incarnation == m_options.m_incarnation;
+    m_coordinator_record = *record;
+    if (row->m_version > m_coordinator_version) {
+        m_coordinator_version = row->m_version;
+        m_coordinator_changed_at = m_ports.m_clock->m_now();
+    }
+    if (m_is_active && !is_own) {
+        step_down();
+    }
+    if (!m_is_active && is_own && !m_resigned) {
+        m_is_active = true;
     }
-    probe_unreachable_primaries();
-    try_become_active();
+}
+
+/// Renewals do not repeat the record. If the store applied an older heartbeat late, the record there
+/// is not the one last reported.
+void fleet_coordinator::check_own_row() {
+    const auto own = m_directory.members().find(member_prefix + m_options.m_name);
+    const bool as_reported =
+        own != m_directory.members().end() && m_reported_record == own->second.m_record;
+    if (m_reported_record && !as_reported && !m_heartbeat_in_flight) {
+        m_reported_record.reset();
+    }
+}
+
+void fleet_coordinator::remove_stale_renewals() {
+    const steady_time now = m_ports.m_clock->m_now();
+    std::vector<store_row> stale = m_directory.stale_renewal_rows(stale_renewals_time, now);
+    if (stale.empty() || now < m_next_removal) {
+        return;
+    }
+    m_next_removal = now + stale_renewals_time;
+    stale.resize(std::min(stale.size(), max_removed_rows));
+    m_ports.m_store->m_change({.m_expected = stale, .m_removals = stale}, [](const store_answer& reply) {
+        if (reply.m_status != store_status::done) {
+            log_event(log_level::info, "member.renewals_not_removed");
+        }
+    });
 }
 
 /// An instance without traffic does not notice a primary that has stopped answering, and would
 /// count as one that reaches it. Probe each primary that another instance reports as unreachable.
 void fleet_coordinator::probe_unreachable_primaries() const {
     for (const auto& [name, group] : m_groups) {
-        const bool is_unreachable =
-            std::any_of(m_members.begin(), m_members.end(), [&, name = name](const auto& each) {
+        const bool is_unreachable = std::any_of(
+            m_directory.members().begin(), m_directory.members().end(), [&, name = name](const auto& each) {
                 return is_alive(each.second) && each.second.m_record.m_unreachable_primaries.contains(name);
             });
         if (is_unreachable) {
@@ -330,28 +419,13 @@
     }
 }
 
-void fleet_coordinator::apply_member_row(const store_row& row) {
-    member& known = m_members[row.m_key];
-    if (row.m_version <= known.m_version) {
-        return;
-    }
-    const auto record = parse_member_record(row.m_value);
-    if (!record) {
-        log_event(log_level::error, "member.record_unreadable", {{"member", row.m_key}});
-        return;
-    }
-    known.m_record = *record;
-    known.m_version = row.m_version;
-    known.m_changed_at = m_ports.m_clock->m_now();
-    known.m_process_ended = false;
-}
-
 int fleet_coordinator::successor_rank() const {
     const auto weight = [](const std::string& name) { return stable_hash("steward " + name); };
     const std::uint64_t own = weight(m_options.m_name);
-    return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& each) {
-        return is_alive(each.second) && weight(each.second.m_record.m_name) > own;
-    }));
+    return static_cast<int>(
+        std::count_if(m_directory.members().begin(), m_directory.members().end(), [&](const auto& each) {
+            return is_alive(each.second) && weight(each.second.m_record.m_name) > own;
+        }));
 }
 
 bool fleet_coordinator::is_active_coordinator_gone() {
@@ -359,8 +433,8 @@
         return true;
     }
     const steady_time now = m_ports.m_clock->m_now();
-    const auto holder = m_members.find(member_prefix + m_coordinator_record.m_holder);
-    if (holder == m_members.end() ||
+    const auto holder = m_directory.members().find(member_prefix + m_coordinator_record.m_holder);
+    if (holder == m_directory.members().end() ||
         holder->second.m_record.m_incarnation != m_coordinator_record.m_incarnation) {
         return true;
     }
@@ -410,7 +484,7 @@
     return is_large_fleet() ? m_options.m_large_fleet : m_options.m_small_fleet;
 }
 
-bool fleet_coordinator::is_alive(const member& peer) const {
+bool fleet_coordinator::is_alive(const known_member& peer) const {
     if (peer.m_record.m_name == m_options.m_name) {
         return true;
     }
@@ -418,11 +492,11 @@
     // heartbeats.
     const milliseconds silence_timeout = intervals().m_heartbeat_interval * max_missed_heartbeats +
                                          max_heartbeat_latency + intervals().m_poll_interval;
-    return !peer.m_process_ended && m_members_polled_at < peer.m_changed_at + silence_timeout;
+    return !peer.m_process_ended && m_directory.read_at() < peer.m_heartbeat_seen_at + silence_timeout;
 }
 
 int fleet_coordinator::live_instances() const {
-    const auto alive = std::count_if(m_members.begin(), m_members.end(),
+    const auto alive = std::count_if(m_directory.members().begin(), m_directory.members().end(),
                                      [&](const auto& each) { return is_alive(each.second); });
     return std::max(1, static_cast<int>(alive));
 }
@@ -431,7 +505,7 @@
                                                          const holding_limits& limits) const {
     std::vector<holder_candidate> candidates{
         {.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre}};
-    for (const auto& [key, each] : m_members) {
+    for (const auto& [key, each] : m_directory.members()) {
         const bool other = each.m_record.m_name != m_options.m_name;
         if (other && is_alive(each) && !each.m_record.m_leaving) {
             candidates.push_back(
@@ -442,8 +516,8 @@
 }
 
 std::optional<endpoint> fleet_coordinator::forwarding_address(const std::string& name) const {
-    const auto found = m_members.find(member_prefix + name);
-    if (found == m_members.end() || found->second.m_record.m_forwarding_address.m_port == 0) {
+    const auto found = m_directory.members().find(member_prefix + name);
+    if (found == m_directory.members().end() || found->second.m_record.m_forwarding_address.m_port == 0) {
         return std::nullopt;
     }
     return found->second.m_record.m_forwarding_address;
@@ -451,12 +525,13 @@
 
 std::vector<store_relay_candidate> fleet_coordinator::store_relays() const {
     std::vector<store_relay_candidate> relays;
-    for (const auto& [key, each] : m_members) {
+    for (const auto& [key, each] : m_directory.members()) {
         const bool other = each.m_record.m_name != m_options.m_name;
         if (other && is_alive(each) && !each.m_record.m_leaving &&
             each.m_record.m_store_relay_address.m_port != 0) {
             relays.push_back({.m_name = each.m_record.m_name,
                               .m_data_centre = each.m_record.m_data_centre,
+                              .m_processor_millis = each.m_record.m_processor_millis,
                               .m_address = each.m_record.m_store_relay_address});
         }
     }
@@ -464,7 +539,7 @@
 }
 
 bool fleet_coordinator::is_large_fleet() const {
-    return m_members.size() >= large_fleet_size;
+    return m_directory.members().size() >= large_fleet_size;
 }
 
 bool fleet_coordinator::has_urgent_report() const {
@@ -474,13 +549,9 @@
     const member_record now = own_record();
     // The active coordinator waits for an acknowledgement only while a switch is in progress.
     const bool acknowledgement_changed =
-        std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& group) {
-            const auto epoch = [&](const member_record& record) {
-                const auto found = record.m_acknowledged_epochs.find(group.first);
-                return found == record.m_acknowledged_epochs.end() ? 0 : found->second;
-            };
-            return group.second->record().m_stage == group_stage::switching &&
-                   epoch(now) != epoch(*m_reported_record);
+        now.m_acknowledged_version != m_reported_record->m_acknowledged_version &&
+        std::any_of(m_groups.begin(), m_groups.end(), [](const auto& group) {
+            return group.second->record().m_stage == group_stage::switching;
         });
     return acknowledgement_changed ||
            now.m_unreachable_primaries != m_reported_record->m_unreachable_primaries ||
@@ -499,9 +570,9 @@
     if (may_send && has_urgent_report()) {
         heartbeat(milliseconds{0});
     } else if (now >= m_next_heartbeat) {
-        const milliseconds first_batch_delay =
-            is_large_fleet() ? first_heartbeat_batch_delay : milliseconds{0};
-        heartbeat(m_last_heartbeat_at ? intervals().m_heartbeat_batch_delay : first_batch_delay);
+        const milliseconds short_delay = is_large_fleet() ? urgent_batch_delay : milliseconds{0};
+        const bool on_time = m_last_heartbeat_at && !m_last_heartbeat_failed;
+        heartbeat(on_time ? intervals().m_heartbeat_batch_delay : short_delay);
     }
     const bool switching =
         m_is_active && std::any_of(m_groups.begin(), m_groups.end(), [](const auto& each) {
@@ -521,7 +592,7 @@
     }
 }
 
-void fleet_coordinator::probe(member& peer) {
+void fleet_coordinator::probe(known_member& peer) {
     const steady_time now = m_ports.m_clock->m_now();
     if (now < peer.m_probed_at + min_probe_interval) {
         return;
@@ -530,8 +601,9 @@
     const std::string key = member_prefix + peer.m_record.m_name;
     const std::string incarnation = peer.m_record.m_incarnation;
     m_ports.m_probe(peer.m_record.m_probe_address, [this, key, incarnation](bool refused) {
-        const auto known = m_members.find(key);
-        if (refused && known != m_members.end() && known->second.m_record.m_incarnation == incarnation) {
+        const auto known = m_directory.members().find(key);
+        if (refused && known != m_directory.members().end() &&
+            known->second.m_record.m_incarnation == incarnation) {
             known->second.m_process_ended = true;
         }
     });
@@ -545,20 +617,20 @@
         return std::any_of(current_holders.begin(), current_holders.end(),
                            [&](const holder_candidate& each) { return each.m_name == instance; });
     };
+    const auto row = m_records.rows().find(name.m_text);
+    const std::uint64_t record_version = row == m_records.rows().end() ? 0 : row->second.m_version;
     const auto own = m_own_acknowledged_epochs.find(name);
     std::vector<plan_instance> members{
         {.m_has_acknowledged = own != m_own_acknowledged_epochs.end() && own->second >= record.m_epoch,
          .m_has_connections = is_holder(m_options.m_name),
          .m_cannot_reach_primary = group.is_primary_unreachable(primary_unreachable_delay)}};
-    for (auto& [key, each] : m_members) {
+    for (auto& [key, each] : m_directory.members()) {
         if (each.m_record.m_name == m_options.m_name) {
             continue;
         }
-        const auto epoch = each.m_record.m_acknowledged_epochs.find(name);
-        const bool agreed =
-            epoch != each.m_record.m_acknowledged_epochs.end() && epoch->second >= record.m_epoch;
+        const bool agreed = has_acknowledged(each.m_record, name, record.m_epoch, record_version);
         const bool lease_expired =
-            m_members_polled_at >= each.m_changed_at + m_lease.duration() + lease_margin;
+            m_directory.read_at() >= each.m_heartbeat_seen_at + m_lease.duration() + lease_margin;
         if (record.m_stage == group_stage::switching && !agreed) {
             probe(each);
         }
@@ -586,7 +658,7 @@
     view.m_registry_complete = group.is_registry_complete();
     // An instance that started before the record changed is among these members; one that starts
     // later reads the new record.
-    view.m_instances_current = m_members_polled_at >= coordination.m_epoch_observed_at;
+    view.m_instances_current = m_directory.read_at() >= coordination.m_epoch_observed_at;
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
     view.m_instances = plan_members(name, view.m_record, group);
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -49,16 +49,20 @@
     for (const group_name& group : record.m_unreachable_primaries) {
         missing.push_back(group.m_text);
     }
-    return json{{"name", record.m_name},
-                {"incarnation", record.m_incarnation},
-                {"probe", to_string(record.m_probe_address)},
-                {"relay", to_string(record.m_forwarding_address)},
-                {"store_relay", to_string(record.m_store_relay_address)},
-                {"data_centre", record.m_data_centre.m_text},
-                {"leaving", record.m_leaving},
-                {"epochs", epochs},
-                {"missing", missing}}
-        .dump();
+    json text{{"name", record.m_name},
+              {"incarnation", record.m_incarnation},
+              {"probe", to_string(record.m_probe_address)},
+              {"relay", to_string(record.m_forwarding_address)},
+              {"store_relay", to_string(record.m_store_relay_address)},
+              {"data_centre", record.m_data_centre.m_text},
+              {"leaving", record.m_leaving},
+              {"processor_millis", record.m_processor_millis},
+              {"epochs", epochs},
+              {"missing", missing}};
+    if (record.m_acknowledged_version) {
+        text["acknowledged"] = *record.m_acknowledged_version;
+    }
+    return text.dump();
 }
 
 std::string to_text(const coordinator_record& record) {
@@ -78,6 +82,10 @@
         .dump();
 }
 
+std::string to_text(const renewal_counts& counts) {
+    return json(counts).dump();
+}
+
 std::optional<member_record> parse_member_record(const std::string& text) {
     return parse_record(text, [](const json& value) {
         member_record record{.m_name = value.at("name").get<std::string>(),
@@ -87,6 +95,10 @@
         record.m_store_relay_address = parse_address(value.value("store_relay", json("")));
         record.m_data_centre = {value.at("data_centre").get<std::string>()};
         record.m_leaving = value.at("leaving").get<bool>();
+        record.m_processor_millis = value.value("processor_millis", std::uint32_t{0});
+        if (value.contains("acknowledged")) {
+            record.m_acknowledged_version = value.at("acknowledged").get<std::uint64_t>();
+        }
         for (const auto& [group, epoch] : value.at("epochs").items()) {
             record.m_acknowledged_epochs[{group}] = epoch.get<std::uint64_t>();
         }
@@ -105,6 +117,10 @@
     });
 }
 
+std::optional<renewal_counts> parse_renewal_counts(const std::string& text) {
+    return parse_record(text, [](const json& value) { return value.get<renewal_counts>(); });
+}
+
 std::optional<group_record> parse_group_record(const std::string& text) {
     return parse_record(text, [](const json& value) {
         return group_record{.m_epoch = value.at("epoch").get<std::uint64_t>(),
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -51,13 +51,16 @@
 gateway::gateway(gateway_options options, gateway_ports ports)
     : m_options(std::move(options)), m_ports(std::move(ports)),
       m_store(m_ports.m_clock, m_ports.m_store, m_ports.m_send_peer_request, m_metrics),
-      m_relay(m_ports.m_clock, m_ports.m_store, m_store, m_metrics), m_lease(m_options.m_lease),
+      m_relay(m_ports.m_clock, m_ports.m_store, m_store, m_metrics,
+              {.m_table = members_table, .m_key = renewals_prefix + m_options.m_incarnation}),
+      m_lease(m_options.m_lease),
       m_fleet_coordinator({.m_name = m_options.m_name,
                            .m_incarnation = m_options.m_incarnation,
                            .m_probe_address = m_options.m_probe_address,
                            .m_forwarding_address = m_options.m_forwarding_address,
                            .m_store_relay_address = m_options.m_store_relay_address,
-                           .m_data_centre = m_options.m_data_centre},
+                           .m_data_centre = m_options.m_data_centre,
+                           .m_processor_millis = m_options.m_processor_millis},
                           {.m_clock = &m_ports.m_clock,
                            .m_store = &m_store.port(),
                            .m_promote = m_ports.m_promote,
@@ -80,6 +83,9 @@
 }
 
 void gateway::apply_members() {
+    if (m_fleet_coordinator.has_poll_failed()) {
+        m_store.release_watches();
+    }
     const steady_time polled_at = m_fleet_coordinator.members_polled_at();
     const bool is_coordinating = m_fleet_coordinator.is_active();
     if (polled_at == m_applied_poll_at && is_coordinating == m_applied_as_coordinator) {
@@ -91,8 +97,10 @@
     m_store.set_order(
         order_store_paths({.m_self = m_options.m_name,
                            .m_data_centre = m_options.m_data_centre,
+                           .m_processor_millis = m_options.m_processor_millis,
                            .m_prefers_direct = is_coordinating || !m_fleet_coordinator.is_large_fleet(),
                            .m_candidates = relays}));
+    m_store.release_watches();
     apply_groups();
     close_misplaced_sessions();
 }
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -37,22 +37,28 @@
 store_access::store_access(const clock_port& clock, const store_port& direct,
                            peer_request send_peer_request, metrics& counters)
     : m_clock(clock), m_direct(direct), m_send_peer_request(std::move(send_peer_request)),
-      m_metrics(counters), m_port{.m_read_table =
-                                      [this](const std::string& table, const store_callback& done) {
-                                          this->send(read_question{table}, table, done);
-                                      },
-                                  .m_change =
-                                      [this](const store_change& what, const store_callback& done) {
-                                          this->send(what, std::string{}, done);
-                                      },
-                                  .m_watch =
-                                      [this](const std::string& table, std::uint64_t version,
-                                             milliseconds wait, const store_callback& done) {
-                                          this->send(follow_question{.m_table = table,
-                                                                     .m_after_version = version,
-                                                                     .m_timeout = wait},
-                                                     table, done);
-                                      }} {}
+      m_metrics(counters),
+      m_port{.m_read_table =
+                 [this](const std::string& table, const store_callback& done) {
+                     this->send(read_question{.m_table = table}, table, done);
+                 },
+             .m_read_changes =
+                 [this](const std::string& table, std::uint64_t version, const store_callback& done) {
+                     this->send(read_question{.m_table = table, .m_after_version = version}, table, done);
+                 },
+             .m_change = [this](const store_change& what,
+                                const store_callback& done) { this->send(what, std::string{}, done); },
+             .m_watch =
+                 [this](const std::string& table, std::uint64_t version, milliseconds wait,
+                        const store_callback& done) {
+                     const follow_question request{
+                         .m_table = table, .m_after_version = version, .m_timeout = wait};
+                     if (m_holds_watches) {
+                         m_held_watches.push_back({.m_request = request, .m_done = done});
+                     } else {
+                         this->send(request, table, done);
+                     }
+                 }} {}
 
 store_path store_access::choose() const {
     const steady_time now = m_clock.m_now();
@@ -60,6 +66,13 @@
     return use_direct ? store_path{} : m_choice.choose(now);
 }
 
+void store_access::release_watches() {
+    m_holds_watches = false;
+    for (const held_watch& each : std::exchange(m_held_watches, {})) {
+        send(each.m_request, each.m_request.m_table, each.m_done);
+    }
+}
+
 void store_access::send(const store_question& request, const std::string& table,
                         const store_callback& done) {
     const store_path path = choose();
@@ -85,10 +98,15 @@
 
 void store_access::send_direct(const store_question& request, const store_callback& done) {
     if (const auto* read = std::get_if<read_question>(&request)) {
-        m_direct.m_read_table(read->m_table, done);
+        if (read->m_after_version > 0) {
+            m_read_changes(*read, done);
+        } else {
+            m_direct.m_read_table(read->m_table, done);
+        }
     } else if (const auto* follow = std::get_if<follow_question>(&request)) {
         m_direct.m_watch(follow->m_table, follow->m_after_version, follow->m_timeout, done);
-    } else if (const auto& change = std::get<store_change>(request); change.m_max_batch_delay.count() > 0) {
+    } else if (const auto& change = std::get<store_change>(request);
+               change.m_max_batch_delay.count() > 0 || change.m_renewal) {
         m_batch_change(change, done);
     } else {
         m_direct.m_change(change, done);
--- a/libs/gateway/src/store_questions.cpp
+++ b/libs/gateway/src/store_questions.cpp
@@ -70,6 +70,7 @@
     peer::store_question out;
     if (const auto* read = std::get_if<read_question>(&request)) {
         out.mutable_read()->set_table(read->m_table);
+        out.mutable_read()->set_after(read->m_after_version);
     } else if (const auto* follow = std::get_if<follow_question>(&request)) {
         out.mutable_follow()->set_table(follow->m_table);
         out.mutable_follow()->set_after(follow->m_after_version);
@@ -87,6 +88,10 @@
             encode_row(each, *rows.add_removals());
         }
         rows.set_may_wait_ms(static_cast<std::uint32_t>(change.m_max_batch_delay.count()));
+        if (change.m_renewal) {
+            rows.mutable_renewal()->set_incarnation(change.m_renewal->m_incarnation);
+            rows.mutable_renewal()->set_count(change.m_renewal->m_count);
+        }
     }
     return out.SerializeAsString();
 }
@@ -97,7 +102,7 @@
         return std::nullopt;
     }
     if (in.has_read()) {
-        return read_question{.m_table = in.read().table()};
+        return read_question{.m_table = in.read().table(), .m_after_version = in.read().after()};
     }
     if (in.has_follow()) {
         return follow_question{.m_table = in.follow().table(),
@@ -105,10 +110,15 @@
                                .m_timeout = milliseconds{in.follow().wait_ms()}};
     }
     if (in.has_change()) {
-        return store_change{.m_expected = decode_rows(in.change().expected()),
+        store_change change{.m_expected = decode_rows(in.change().expected()),
                             .m_writes = decode_rows(in.change().writes()),
                             .m_removals = decode_rows(in.change().removals()),
                             .m_max_batch_delay = milliseconds{in.change().may_wait_ms()}};
+        if (in.change().has_renewal()) {
+            change.m_renewal = lease_renewal{.m_incarnation = in.change().renewal().incarnation(),
+                                             .m_count = in.change().renewal().count()};
+        }
+        return change;
     }
     return std::nullopt;
 }
@@ -121,6 +131,8 @@
     }
     out.set_version(reply.m_version);
     out.set_age_ms(static_cast<std::uint32_t>(reply.m_age.count()));
+    out.set_delta(reply.m_is_delta);
+    out.set_renewed(reply.m_renewed);
     return out.SerializeAsString();
 }
 
@@ -132,7 +144,9 @@
     return store_answer{.m_status = status_of_outcome(in.result()),
                         .m_rows = decode_rows(in.rows()),
                         .m_version = in.version(),
-                        .m_age = milliseconds{in.age_ms()}};
+                        .m_age = milliseconds{in.age_ms()},
+                        .m_is_delta = in.delta(),
+                        .m_renewed = in.renewed()};
 }
 
 }
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -1,8 +1,8 @@
 /// \file store_relay.cpp
-/// Answers relayed reads and watches from copies, a short-lived cache or the store, and batches
-/// relayed changes.
+/// Answers relayed reads and watches from copies or the store, and batches relayed changes.
 #include "anvilmount/gateway/store_relay.hpp"
 
+#include "anvilmount/gateway/fleet_membership.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -14,8 +14,9 @@
 /// After its last relayed request, an instance reads the tables directly for this long.
 constexpr milliseconds direct_preference_time{10000};
 
-/// Many instances poll the members table; a cached answer may be this old.
-constexpr milliseconds cache_lifetime{1000};
+/// Many instances poll the members table. An answer may be this old: a quarter of the interval at
+/// which most of them poll.
+constexpr milliseconds max_relayed_read_age{2500};
 
 /// The store accepts at most 100 entries in one change, conditions included.
 constexpr std::size_t max_batched_writes = 80;
@@ -39,10 +40,14 @@
 }
 
 store_relay::store_relay(const clock_port& clock, const store_port& direct, store_access& access,
-                         metrics& counters)
-    : m_clock(clock), m_direct(direct), m_access(access), m_metrics(counters) {
+                         metrics& counters, store_row renewals)
+    : m_clock(clock), m_direct(direct), m_access(access), m_metrics(counters),
+      m_renewal_row(std::move(renewals)) {
     m_access.set_change_batcher(
         [this](const store_change& request, const store_callback& done) { change(request, done); });
+    m_access.set_change_reader([this](const read_question& request, const store_callback& done) {
+        read(request, milliseconds{0}, done);
+    });
 }
 
 void store_relay::share_copy(const table_follower& copy) {
@@ -75,7 +80,7 @@
     }
     m_access.prefer_direct_until(m_clock.m_now() + direct_preference_time);
     if (const auto* wanted = std::get_if<read_question>(&*request)) {
-        read(*wanted, done);
+        read(*wanted, max_relayed_read_age, done);
     } else if (const auto* followed = std::get_if<follow_question>(&*request)) {
         follow(*followed, done);
     } else {
@@ -83,34 +88,80 @@
     }
 }
 
-void store_relay::read(const read_question& request, const store_callback& done) {
-    if (const table_follower* copy = usable_copy(request.m_table)) {
-        store_answer reply{.m_status = store_status::done, .m_version = copy->version()};
-        for (const auto& [key, row] : copy->rows()) {
-            reply.m_rows.push_back(row);
+store_answer store_relay::answer_from(const table_copy& copy, const read_question& request) {
+    store_answer reply{.m_status = store_status::done, .m_version = copy.version()};
+    if (request.m_after_version > 0) {
+        if (auto changes = copy.changes_since(request.m_after_version)) {
+            reply.m_rows = std::move(*changes);
+            reply.m_is_delta = true;
+            return reply;
         }
-        done(reply);
+    }
+    for (const auto& [key, row] : copy.rows()) {
+        reply.m_rows.push_back(row);
+    }
+    return reply;
+}
+
+void store_relay::read(const read_question& request, milliseconds max_age, const store_callback& done) {
+    if (const table_follower* followed = usable_copy(request.m_table)) {
+        done(answer_from(followed->copy(), request));
+        return;
+    }
+    if (m_copies.contains(request.m_table)) {
+        m_direct.m_read_table(request.m_table, done);
         return;
     }
     const steady_time now = m_clock.m_now();
-    const auto cached = m_cached.find(request.m_table);
-    if (cached != m_cached.end() && now < cached->second.m_requested_at + cache_lifetime) {
-        store_answer reply = cached->second.m_answer;
-        reply.m_age = std::chrono::duration_cast<milliseconds>(now - cached->second.m_requested_at);
+    polled_table& table = m_polled[request.m_table];
+    if (table.m_copy.version() > 0 && now < table.m_read_at + max_age) {
+        store_answer reply = answer_from(table.m_copy, request);
+        reply.m_age = std::chrono::duration_cast<milliseconds>(now - table.m_read_at);
         done(reply);
         return;
     }
-    m_direct.m_read_table(request.m_table,
-                          [this, now, table = request.m_table, done](const store_answer& reply) {
-                              const bool followed = m_copies.contains(table);
-                              if (reply.m_status == store_status::done && !followed) {
-                                  m_cached[table] = {.m_requested_at = now, .m_answer = reply};
-                              }
-                              done(reply);
-                          });
+    table.m_waiting.push_back({.m_request = request, .m_since = now, .m_done = done});
+    if (!table.m_requested_at) {
+        table.m_requested_at = now;
+        refresh(request.m_table, table);
+    }
+}
+
+void store_relay::refresh(const std::string& name, polled_table& table) {
+    const auto read_whole = [this, name] {
+        m_direct.m_read_table(name, [this, name](const store_answer& reply) { on_refreshed(name, reply); });
+    };
+    if (table.m_copy.version() == 0) {
+        read_whole();
+        return;
+    }
+    m_direct.m_read_changes(name, table.m_copy.version(),
+                            [this, name, read_whole](const store_answer& reply) {
+                                if (reply.m_status == store_status::history_gone) {
+                                    read_whole();
+                                } else {
+                                    on_refreshed(name, reply);
+                                }
+                            });
+}
+
+void store_relay::on_refreshed(const std::string& name, const store_answer& reply) {
+    polled_table& table = m_polled.at(name);
+    const steady_time requested_at = *std::exchange(table.m_requested_at, std::nullopt);
+    const bool succeeded = reply.m_status == store_status::done;
+    if (succeeded) {
+        table.m_copy.apply(reply);
+        table.m_read_at = requested_at;
+    }
+    for (const waiting_reader& each : std::exchange(table.m_waiting, {})) {
+        store_answer answered = succeeded ? answer_from(table.m_copy, each.m_request)
+                                          : store_answer{.m_status = reply.m_status};
+        answered.m_age = std::chrono::ceil<milliseconds>(each.m_since - requested_at);
+        each.m_done(answered);
+    }
 }
 
-std::optional<store_answer> store_relay::changes_since(const table_follower& copy,
+std::optional<store_answer> store_relay::changes_since(const table_copy& copy,
                                                        const follow_question& request) {
     if (copy.last_removal_version() > request.m_after_version) {
         return store_answer{.m_status = store_status::history_gone};
@@ -119,13 +170,7 @@
         // Called for every waiting watch at each tick, so it must not iterate over the rows.
         return std::nullopt;
     }
-    store_answer reply{.m_status = store_status::done, .m_version = copy.version()};
-    for (const auto& [key, row] : copy.rows()) {
-        if (row.m_version > request.m_after_version) {
-            reply.m_rows.push_back(row);
-        }
-    }
-    return reply.m_rows.empty() ? std::nullopt : std::optional(std::move(reply));
+    return answer_from(copy, {.m_table = request.m_table, .m_after_version = request.m_after_version});
 }
 
 void store_relay::follow(const follow_question& request, const store_callback& done) {
@@ -134,7 +179,7 @@
         return;
     }
     const table_follower* copy = usable_copy(request.m_table);
-    if (const auto reply = copy == nullptr ? std::nullopt : changes_since(*copy, request)) {
+    if (const auto reply = copy == nullptr ? std::nullopt : changes_since(copy->copy(), request)) {
         done(*reply);
         return;
     }
@@ -160,7 +205,10 @@
     }
     std::copy(request.m_writes.begin(), request.m_writes.end(),
               std::back_inserter(joined->m_change.m_writes));
-    joined->m_done.push_back(done);
+    if (request.m_renewal) {
+        joined->m_renewals.push_back(*request.m_renewal);
+    }
+    joined->m_requesters.push_back({.m_renews = request.m_renewal.has_value(), .m_done = done});
     joined->m_due = std::min(joined->m_due, due);
     send_due_batch();
 }
@@ -177,17 +225,28 @@
     if (due == m_batches.end()) {
         return;
     }
-    const change_batch batch = std::move(*due);
+    change_batch batch = std::move(*due);
     m_batches.erase(due);
     m_change_in_flight = true;
+    for (const lease_renewal& each : batch.m_renewals) {
+        m_renewals.record(each.m_incarnation, each.m_count, now);
+    }
+    if (!batch.m_renewals.empty()) {
+        store_row row = m_renewal_row;
+        row.m_value = to_text(m_renewals.counts(now));
+        batch.m_change.m_writes.push_back(std::move(row));
+    }
     m_metrics.count("changes_made_for_others");
-    m_direct.m_change(batch.m_change, [this, done = batch.m_done](const store_answer& reply) {
-        m_change_in_flight = false;
-        for (const store_callback& each : done) {
-            each(reply);
-        }
-        send_due_batch();
-    });
+    m_direct.m_change(batch.m_change,
+                      [this, requesters = batch.m_requesters](const store_answer& received) {
+                          m_change_in_flight = false;
+                          store_answer reply = received;
+                          for (const requester& each : requesters) {
+                              reply.m_renewed = each.m_renews && reply.m_status == store_status::done;
+                              each.m_done(reply);
+                          }
+                          send_due_batch();
+                      });
 }
 
 void store_relay::tick() {
@@ -196,7 +255,8 @@
     std::list<waiting_follower> waiting = std::exchange(m_followers, {});
     for (waiting_follower& each : waiting) {
         const table_follower* copy = usable_copy(each.m_request.m_table);
-        if (const auto reply = copy == nullptr ? std::nullopt : changes_since(*copy, each.m_request)) {
+        if (const auto reply =
+                copy == nullptr ? std::nullopt : changes_since(copy->copy(), each.m_request)) {
             each.m_done(*reply);
         } else if (now < each.m_deadline) {
             m_followers.push_back(std::move(each));
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -47,7 +47,7 @@
     if (snapshot) {
         m_store.m_read_table(m_options.m_table, on_reply);
     } else {
-        m_store.m_watch(m_options.m_table, m_version, m_options.m_watch_timeout, on_reply);
+        m_store.m_watch(m_options.m_table, m_copy.version(), m_options.m_watch_timeout, on_reply);
     }
 }
 
@@ -100,56 +100,18 @@
         m_recovered_at = m_clock.m_now();
     }
     m_consecutive_failures = 0;
-    bool changed = snapshot && !m_loaded;
-    if (snapshot) {
-        changed = apply_snapshot(reply) || changed;
-        m_last_removal_version = m_loaded ? m_last_removal_version : reply.m_version;
-        m_loaded = true;
-    } else {
-        for (const store_row& row : reply.m_rows) {
-            changed = apply_row(row) || changed;
-        }
-    }
-    m_version = std::max(m_version, reply.m_version);
+    store_answer received = reply;
+    received.m_is_delta = !snapshot;
+    const bool changed = m_copy.apply(received) || (snapshot && !m_loaded);
+    m_loaded = m_loaded || snapshot;
     m_snapshot_in_flight = false;
     const std::uint64_t applied_request = m_request_number;
     if (changed) {
-        m_on_change(m_rows);
+        m_on_change(m_copy.rows());
     }
     if (m_request_number == applied_request) {
         request_next();
     }
 }
 
-bool table_follower::apply_row(const store_row& row) {
-    const auto known = m_rows.find(row.m_key);
-    if (known != m_rows.end() && known->second.m_version >= row.m_version) {
-        return false;
-    }
-    if (row.m_removed) {
-        m_last_removal_version = std::max(m_last_removal_version, row.m_version);
-        return m_rows.erase(row.m_key) > 0;
-    }
-    m_rows[row.m_key] = row;
-    m_newest_row_version = std::max(m_newest_row_version, row.m_version);
-    return true;
-}
-
-bool table_follower::apply_snapshot(const store_answer& reply) {
-    bool changed = false;
-    for (auto each = m_rows.begin(); each != m_rows.end();) {
-        const bool listed = std::any_of(reply.m_rows.begin(), reply.m_rows.end(),
-                                        [&](const store_row& row) { return row.m_key == each->first; });
-        const bool removed = !listed && reply.m_version > each->second.m_version;
-        changed = changed || removed;
-        m_last_removal_version =
-            removed ? std::max(m_last_removal_version, reply.m_version) : m_last_removal_version;
-        each = removed ? m_rows.erase(each) : std::next(each);
-    }
-    for (const store_row& row : reply.m_rows) {
-        changed = apply_row(row) || changed;
-    }
-    return changed;
-}
-
 }
--- /dev/null
+++ b/test/gateway/member_directory.cpp
@@ -0,0 +1,130 @@
+/// \file member_directory.cpp
+/// What an instance knows of the others, from tables, deltas and published renewals.
+#include "anvilmount/gateway/member_directory.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using gateway::store_answer;
+using gateway::store_row;
+
+namespace {
+
+const steady_time start{1h};
+
+store_row member_row(const std::string& name, std::uint64_t version, const std::string& incarnation = "1") {
+    return {.m_table = gateway::members_table,
+            .m_key = gateway::member_prefix + name,
+            .m_value = gateway::to_text(gateway::member_record{.m_name = name,
+                                                               .m_incarnation = name + incarnation,
+                                                               .m_processor_millis = 120,
+                                                               .m_acknowledged_version = 4}),
+            .m_version = version};
+}
+
+store_row renewals(const renewal_counts& counts, std::uint64_t version) {
+    return {.m_table = gateway::members_table,
+            .m_key = gateway::renewals_prefix + "relay",
+            .m_value = gateway::to_text(counts),
+            .m_version = version};
+}
+
+store_answer answer(std::vector<store_row> rows, std::uint64_t version, bool is_delta) {
+    return {.m_status = gateway::store_status::done,
+            .m_rows = std::move(rows),
+            .m_version = version,
+            .m_is_delta = is_delta};
+}
+
+const gateway::known_member& member(const gateway::member_directory& directory, const std::string& name) {
+    return directory.members().at(gateway::member_prefix + name);
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(a_published_renewal_is_a_heartbeat) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2)}, 2, false), start, start);
+    directory.apply(answer({renewals({{"b1", 7}}, 3)}, 3, true), start + 3s, start + 3s);
+    BOOST_TEST((member(directory, "a").m_heartbeat_seen_at == start));
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 3s));
+    directory.apply(answer({renewals({{"b1", 7}, {"a1", 1}}, 4)}, 4, true), start + 6s, start + 6s);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 3s));
+    BOOST_TEST((member(directory, "a").m_heartbeat_seen_at == start + 6s));
+}
+
+BOOST_AUTO_TEST_CASE(a_renewal_of_an_ended_process_does_not_revive_its_successor) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("b", 1), renewals({{"b1", 7}}, 2)}, 2, false), start, start);
+    directory.apply(answer({member_row("b", 3, "2")}, 3, true), start + 1s, start + 1s);
+    directory.apply(answer({renewals({{"b1", 8}}, 4)}, 4, true), start + 2s, start + 2s);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(older_answers_are_ignored) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2)}, 5, false), start, start);
+    BOOST_TEST(!directory.apply(answer({member_row("a", 1)}, 4, false), start + 1s, start + 1s));
+    BOOST_TEST(!directory.apply(answer({member_row("a", 1)}, 6, false), start - 1s, start + 1s));
+    BOOST_TEST(directory.members().size() == 2U);
+    BOOST_TEST((directory.read_at() == start));
+}
+
+BOOST_AUTO_TEST_CASE(removed_and_unlisted_instances_are_dropped) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2), member_row("c", 3)}, 3, false), start,
+                    start);
+    store_row removed = member_row("b", 4);
+    removed.m_removed = true;
+    directory.apply(answer({removed}, 4, true), start + 1s, start + 1s);
+    BOOST_TEST(directory.members().size() == 2U);
+    directory.apply(answer({member_row("a", 1)}, 5, false), start + 2s, start + 2s);
+    BOOST_TEST(directory.members().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_rows_change_nothing) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1)}, 1, false), start, start);
+    for (const char* text : {"", "{", "[]", "{\"name\":5}", "\xff"}) {
+        store_row bad = member_row("a", 9);
+        bad.m_value = text;
+        store_row bad_renewals = renewals({}, 9);
+        bad_renewals.m_value = text;
+        directory.apply(answer({bad, bad_renewals}, 9, true), start + 1s, start + 1s);
+    }
+    BOOST_TEST(member(directory, "a").m_record.m_incarnation == "a1");
+    BOOST_TEST(directory.members().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_instance_finds_itself_registered) {
+    gateway::member_directory restarted("a");
+    restarted.apply(answer({member_row("a", 1), member_row("b", 2)}, 2, false), start, start);
+    BOOST_TEST(restarted.was_registered());
+    gateway::member_directory added("c");
+    added.apply(answer({member_row("a", 1)}, 2, false), start, start);
+    BOOST_TEST(!added.was_registered());
+}
+
+BOOST_AUTO_TEST_CASE(rows_of_relays_that_stopped_are_found) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({renewals({{"a1", 1}}, 2)}, 2, false), start, start);
+    BOOST_TEST(directory.stale_renewal_rows(60s, start + 59s).empty());
+    const auto stale = directory.stale_renewal_rows(60s, start + 60s);
+    BOOST_REQUIRE(stale.size() == 1U);
+    BOOST_TEST(stale[0].m_version == 2U);
+}
+
+/// Rows of the version before name epochs and no acknowledged version; newer rows must be readable
+/// there, which requires the key "epochs".
+BOOST_AUTO_TEST_CASE(rows_of_the_version_before_are_read_and_theirs_can_read_ours) {
+    const auto old = gateway::parse_member_record(
+        R"({"name":"b","incarnation":"7","probe":"10.0.0.1:1","relay":"10.0.0.1:2","store_relay":"10.0.0.1:3",)"
+        R"("data_centre":"dc1","leaving":false,"epochs":{"orders":3},"missing":[]})");
+    BOOST_REQUIRE(old.has_value());
+    BOOST_TEST(!old->m_acknowledged_version.has_value());
+    BOOST_TEST(old->m_acknowledged_epochs.at({"orders"}) == 3U);
+    const std::string ours = gateway::to_text(gateway::member_record{.m_acknowledged_version = 8});
+    BOOST_TEST(ours.find("\"epochs\":{}") != std::string::npos);
+    BOOST_TEST((gateway::parse_member_record(ours)->m_acknowledged_version == 8U));
+}
--- a/test/gateway/store_contract.cpp
+++ b/test/gateway/store_contract.cpp
@@ -174,6 +174,24 @@
     BOOST_TEST(received.m_rows[1].m_removed);
 }
 
+BOOST_AUTO_TEST_CASE(a_read_of_changes_does_not_wait_and_returns_a_delta) {
+    fake_store_server store(36);
+    store.m_rules = {
+        {.m_contains = "rows-feed?table=t&after=5&waitMs=0",
+         .m_reply = http_response(200, R"({"rows":[)" + row("t", "a", "1", 6) + R"(],"ver":7})")},
+        {.m_contains = "after=2&waitMs=0", .m_reply = http_response(410, "{}")}};
+    const auto read_changes = [&](std::uint64_t after) {
+        return store.wait_for([&](gateway::store_callback done) {
+            store.m_client->port().m_read_changes("t", after, std::move(done));
+        });
+    };
+    const store_answer changes = read_changes(5);
+    BOOST_TEST(changes.m_is_delta);
+    BOOST_TEST(changes.m_rows.size() == 1U);
+    BOOST_TEST((read_changes(2).m_status == store_status::history_gone));
+    BOOST_TEST(store.m_client->calls().at("poll t") == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_watch_of_a_table_replaces_the_one_in_flight) {
     fake_store_server store(34);
     store.m_rules = {{.m_contains = "after=5&", .m_reply = "silence"},
--- a/test/gateway/store_path.cpp
+++ b/test/gateway/store_path.cpp
@@ -61,6 +61,22 @@
     }
 }
 
+/// A relay carries the traffic of all instances of its data centre.
+BOOST_AUTO_TEST_CASE(the_largest_instance_of_a_data_centre_relays) {
+    auto all = fleet(80);
+    for (std::size_t number = 0; number < all.size(); ++number) {
+        all[number].m_processor_millis = number < 8 ? 500 : 120;
+    }
+    for (std::size_t self = 0; self < all.size(); ++self) {
+        const auto order = order_store_paths({.m_self = all[self].m_name,
+                                              .m_data_centre = all[self].m_data_centre,
+                                              .m_processor_millis = all[self].m_processor_millis,
+                                              .m_prefers_direct = false,
+                                              .m_candidates = all});
+        BOOST_TEST((order.front().m_relay ? order.front().m_relay->m_port <= 8 : self < 8));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_single_instance_has_only_the_direct_path) {
     const auto all = fleet(1);
     BOOST_TEST(order_of(all, 0, false).size() == 1U);
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 using kind = gateway::statement_kind;
@@ -41,12 +43,14 @@
     gateway::store_port m_direct{m_store.port("relay")};
     metrics m_metrics;
     gateway::store_access m_access{m_clock_port, m_direct, {}, m_metrics};
-    gateway::store_relay m_relay{m_clock_port, m_direct, m_access, m_metrics};
+    gateway::store_relay m_relay{
+        m_clock_port, m_direct, m_access, m_metrics, {.m_table = "m", .m_key = "renewals/relay"}};
     gateway::table_follower m_copy{
         {.m_table = "t", .m_watch_timeout = 2000ms}, m_clock_port, m_access.port(), [](const auto&) {}};
     std::vector<gateway::store_answer> m_replies;
 
     single_relay() {
+        m_access.release_watches();
         m_store.put("t", "a", "1");
         m_relay.share_copy(m_copy);
         m_copy.start();
@@ -195,6 +199,88 @@
     BOOST_TEST(fleet.m_store.m_changes <= 12);
 }
 
+/// What a whole fleet exchanges while it returns must not delay the answers that give it its leases.
+/// Links of 20 Mbit/s; an instance may spend 22 KB a second on control.
+BOOST_AUTO_TEST_CASE(a_restarted_large_fleet_serves_within_two_seconds_over_slow_links) {
+    constexpr int size = 150;
+    test::gateway_fleet fleet(size, 20);
+    fleet.m_link_rate = 2500;
+    fleet.run_for(15000ms);
+    for (int number = 1; number <= size; ++number) {
+        fleet.lose_power(number);
+    }
+    fleet.run_for(1400ms);
+    for (int number = 1; number <= size; ++number) {
+        fleet.start(number);
+    }
+    const std::size_t before = fleet.m_peer_bytes;
+    fleet.run_for(700ms);
+    const auto ready = [&] {
+        int count = 0;
+        for (int number = 1; number <= size; ++number) {
+            count += fleet.instance(number).is_ready() ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(4 * ready() >= size);
+    fleet.run_for(300ms);
+    BOOST_TEST(2 * ready() >= size);
+    fleet.run_for(1000ms);
+    BOOST_TEST(10 * ready() >= 9 * size);
+    BOOST_TEST((fleet.m_peer_bytes - before) / size <= 2 * 22000U);
+}
+
+/// Calls grow with the data centres (three here) and with changes, not with the instances.
+BOOST_AUTO_TEST_CASE(store_calls_at_rest_do_not_grow_with_the_instances) {
+    for (const int size : {40, 120}) {
+        test::gateway_fleet fleet(size);
+        fleet.run_for(20000ms);
+        const int calls_before = fleet.m_store.m_calls;
+        const std::size_t bytes_before = fleet.m_peer_bytes;
+        fleet.run_for(60000ms);
+        // For each data centre a change each 3 s, a poll each 2.5 s and a watch each 15 s; the active
+        // coordinator's renewals and polls, each less than once a second, and those of an instance
+        // that takes over.
+        BOOST_TEST(fleet.m_store.m_calls - calls_before <= 60 * 4);
+        BOOST_TEST((fleet.m_peer_bytes - bytes_before) / size / 60 <= 2000U);
+    }
+}
+
+/// A heartbeat that says nothing new is published by a relay of this version only.
+BOOST_AUTO_TEST_CASE(instances_stay_alive_through_relays_that_publish_no_renewals) {
+    constexpr int size = 30;
+    test::gateway_fleet fleet(size);
+    fleet.m_knows_no_renewals = true;
+    fleet.run_for(30000ms);
+    for (int number = 1; number <= size; ++number) {
+        BOOST_TEST(fleet.instance(number).is_ready());
+        BOOST_TEST(fleet.instance(number).state_dump()["instances"].get<int>() == size);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(rows_of_relays_that_stopped_are_removed_in_the_end) {
+    test::gateway_fleet fleet(6);
+    fleet.run_for(10000ms);
+    const auto rows = [&] {
+        const auto all = fleet.m_store.read_snapshot("i1", gateway::members_table).m_answer.m_rows;
+        return std::count_if(all.begin(), all.end(), [](const gateway::store_row& row) {
+            return row.m_key.starts_with(gateway::renewals_prefix);
+        });
+    };
+    // Each instance but the active coordinator, which repeats its record.
+    BOOST_TEST(rows() == 5);
+    for (int number = 1; number <= 6; ++number) {
+        fleet.kill(number);
+        fleet.start(number);
+        fleet.run_for(5000ms);
+    }
+    fleet.run_for(150000ms);
+    BOOST_TEST(rows() <= 6);
+    for (int number = 1; number <= 6; ++number) {
+        BOOST_TEST(write_succeeds(fleet, number));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(retries_during_a_store_outage_are_bounded) {
     test::gateway_fleet fleet(6);
     fleet.run_for(5000ms);
@@ -275,6 +361,98 @@
     BOOST_TEST(relay.m_store.m_changes - before == 2);
 }
 
+BOOST_AUTO_TEST_CASE(renewals_of_a_batch_are_published_in_one_row) {
+    single_relay relay;
+    const int before = relay.m_store.m_changes;
+    for (std::uint64_t member = 1; member <= 10; ++member) {
+        relay.send_request(gateway::store_change{
+            .m_renewal = gateway::lease_renewal{.m_incarnation = std::to_string(member), .m_count = member},
+            .m_max_batch_delay = 100ms});
+    }
+    relay.run_for(200ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 10U);
+    for (const gateway::store_answer& each : relay.m_replies) {
+        BOOST_TEST(each.m_renewed);
+    }
+    BOOST_TEST(relay.m_store.m_changes - before == 1);
+    const auto published = gateway::parse_renewal_counts(relay.m_store.value("m", "renewals/relay"));
+    BOOST_REQUIRE(published.has_value());
+    BOOST_TEST(published->size() == 10U);
+    BOOST_TEST(published->at("7") == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_renewal_is_not_reported_as_published) {
+    single_relay relay;
+    relay.m_store.put("m", "head", "");
+    relay.send_request(
+        gateway::store_change{.m_expected = {{.m_table = "m", .m_key = "head", .m_version = 1}},
+                              .m_renewal = gateway::lease_renewal{.m_incarnation = "1", .m_count = 1}});
+    relay.run_for(50ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 1U);
+    BOOST_TEST(!relay.m_replies[0].m_renewed);
+    BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::conflict));
+}
+
+/// Many instances poll a table that is not followed: one call serves them, and each gets what it lacks.
+BOOST_AUTO_TEST_CASE(polls_share_one_call_and_get_what_has_changed) {
+    single_relay relay;
+    relay.m_store.put("m", "a", "1");
+    relay.m_store.put("m", "b", "1");
+    relay.send_request(gateway::read_question{.m_table = "m"});
+    relay.run_for(3000ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 1U);
+    BOOST_TEST(!relay.m_replies[0].m_is_delta);
+    BOOST_TEST(relay.m_replies[0].m_rows.size() == 2U);
+    const std::uint64_t seen = relay.m_replies[0].m_version;
+    relay.m_store.put("m", "b", "2");
+    relay.m_store.remove("m", "a");
+    const int before = relay.m_store.m_calls;
+    for (int reader = 0; reader < 20; ++reader) {
+        relay.send_request(gateway::read_question{.m_table = "m", .m_after_version = seen});
+    }
+    relay.run_for(100ms);
+    BOOST_TEST(relay.m_store.m_calls - before == 1);
+    BOOST_REQUIRE(relay.m_replies.size() == 21U);
+    for (std::size_t reader = 1; reader < 21; ++reader) {
+        BOOST_TEST(relay.m_replies[reader].m_is_delta);
+        BOOST_TEST(relay.m_replies[reader].m_rows.size() == 2U);
+    }
+    // A reader that has seen nothing still gets the whole table.
+    relay.send_request(gateway::read_question{.m_table = "m"});
+    BOOST_TEST(!relay.m_replies.back().m_is_delta);
+    BOOST_TEST(relay.m_replies.back().m_rows.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_poll_reads_the_whole_table_when_the_history_is_gone) {
+    single_relay relay;
+    relay.m_store.put("m", "a", "1");
+    relay.send_request(gateway::read_question{.m_table = "m"});
+    relay.run_for(3000ms);
+    const std::uint64_t seen = relay.m_replies.at(0).m_version;
+    relay.m_store.put("m", "b", "1");
+    relay.m_store.forget_history();
+    relay.send_request(gateway::read_question{.m_table = "m", .m_after_version = seen});
+    relay.run_for(100ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 2U);
+    BOOST_REQUIRE(relay.m_replies[1].m_rows.size() >= 1U);
+    BOOST_TEST(relay.m_replies[1].m_rows.back().m_key == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_poll_of_an_unreachable_store_is_answered_to_all_that_wait) {
+    single_relay relay;
+    relay.m_store.m_unreachable = true;
+    for (int reader = 0; reader < 3; ++reader) {
+        relay.send_request(gateway::read_question{.m_table = "m"});
+    }
+    relay.run_for(2000ms);
+    BOOST_TEST(relay.m_replies.size() == 3U);
+    relay.m_store.m_unreachable = false;
+    relay.run_for(2000ms);
+    relay.send_request(gateway::read_question{.m_table = "m"});
+    relay.run_for(100ms);
+    BOOST_TEST((relay.m_replies.back().m_status == gateway::store_status::done));
+}
+
 BOOST_AUTO_TEST_CASE(a_conflict_is_reported_to_every_requester_of_a_batch) {
     single_relay relay;
     relay.m_store.put("m", "head", "");
@@ -319,6 +497,7 @@
         .m_expected = {{.m_table = "t", .m_key = "k", .m_version = 7}},
         .m_writes = {{.m_table = "t", .m_key = "k", .m_value = std::string("\0x", 2)}},
         .m_removals = {{.m_table = "t", .m_key = "gone"}},
+        .m_renewal = gateway::lease_renewal{.m_incarnation = "17", .m_count = 3},
         .m_max_batch_delay = 20ms};
     const auto decoded = gateway::decode_question(gateway::encode_question(change));
     BOOST_REQUIRE(decoded.has_value());
@@ -327,13 +506,21 @@
     BOOST_TEST(read.m_writes.at(0).m_value == std::string("\0x", 2));
     BOOST_TEST(read.m_removals.at(0).m_key == "gone");
     BOOST_TEST((read.m_max_batch_delay == 20ms));
+    BOOST_REQUIRE(read.m_renewal.has_value());
+    BOOST_TEST(read.m_renewal->m_incarnation == "17");
+    BOOST_TEST(read.m_renewal->m_count == 3U);
+    const auto poll = gateway::decode_question(
+        gateway::encode_question(gateway::read_question{.m_table = "t", .m_after_version = 5}));
+    BOOST_TEST(std::get<gateway::read_question>(*poll).m_after_version == 5U);
     for (const auto status :
          {gateway::store_status::done, gateway::store_status::conflict, gateway::store_status::refused,
           gateway::store_status::unknown, gateway::store_status::history_gone}) {
-        const auto reply = gateway::decode_reply(
-            gateway::encode_reply({.m_status = status, .m_version = 9, .m_age = 30ms}));
+        const auto reply = gateway::decode_reply(gateway::encode_reply(
+            {.m_status = status, .m_version = 9, .m_age = 30ms, .m_is_delta = true, .m_renewed = true}));
         BOOST_REQUIRE(reply.has_value());
         BOOST_TEST((reply->m_status == status));
         BOOST_TEST((reply->m_age == 30ms));
+        BOOST_TEST(reply->m_is_delta);
+        BOOST_TEST(reply->m_renewed);
     }
 }
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -17,26 +17,31 @@
 }
 
 gateway::store_port fake_store::port(const std::string& name) {
-    return {.m_read_table =
-                [this, name](const std::string& table, gateway::store_callback done) {
-                    if (apply_fault(name, done)) {
-                        return;
-                    }
-                    store_answer reply = read_snapshot(name, table).m_answer;
-                    if (m_kept_snapshot && m_kept_snapshot->m_client == name) {
-                        reply = m_kept_snapshot->m_answer;
-                        reply.m_age = std::chrono::duration_cast<milliseconds>(m_clock.now() -
-                                                                               m_kept_snapshot->m_taken_at);
-                    }
-                    answer(done, std::move(reply));
-                },
-            .m_change = [this, name](const gateway::store_change& what,
-                                     gateway::store_callback done) { change(name, what, done); },
-            .m_watch =
-                [this, name](const std::string& table, std::uint64_t version, milliseconds wait,
-                             gateway::store_callback done) {
-                    watch(name, table, version, wait, std::move(done));
-                }};
+    return {
+        .m_read_table =
+            [this, name](const std::string& table, gateway::store_callback done) {
+                if (apply_fault(name, done)) {
+                    return;
+                }
+                store_answer reply = read_snapshot(name, table).m_answer;
+                if (m_kept_snapshot && m_kept_snapshot->m_client == name) {
+                    reply = m_kept_snapshot->m_answer;
+                    reply.m_age = std::chrono::duration_cast<milliseconds>(m_clock.now() -
+                                                                           m_kept_snapshot->m_taken_at);
+                }
+                answer(done, std::move(reply));
+            },
+        .m_read_changes =
+            [this, name](const std::string& table, std::uint64_t version, gateway::store_callback done) {
+                read_changes(name, table, version, std::move(done));
+            },
+        .m_change = [this, name](const gateway::store_change& what,
+                                 gateway::store_callback done) { change(name, what, done); },
+        .m_watch =
+            [this, name](const std::string& table, std::uint64_t version, milliseconds wait,
+                         gateway::store_callback done) {
+                watch(name, table, version, wait, std::move(done));
+            }};
 }
 
 fake_store::kept_snapshot fake_store::read_snapshot(const std::string& client,
@@ -52,6 +57,26 @@
     return snapshot;
 }
 
+void fake_store::read_changes(const std::string& name, const std::string& table, std::uint64_t version,
+                              gateway::store_callback done) {
+    if (apply_fault(name, done)) {
+        return;
+    }
+    if (m_kept_snapshot && m_kept_snapshot->m_client == name) {
+        store_answer reply = m_kept_snapshot->m_answer;
+        reply.m_age = std::chrono::duration_cast<milliseconds>(m_clock.now() - m_kept_snapshot->m_taken_at);
+        answer(done, std::move(reply));
+        return;
+    }
+    if (version < m_oldest_version) {
+        answer(done, {.m_status = store_status::history_gone});
+        return;
+    }
+    store_answer reply = changes_since(table, version);
+    reply.m_is_delta = true;
+    answer(done, std::move(reply));
+}
+
 bool fake_store::apply_fault(const std::string& name, const gateway::store_callback& done) {
     ++m_calls;
     if (m_unreachable) {
@@ -116,13 +141,19 @@
         m_rows[{row.m_table, row.m_key}] = row;
         m_history.emplace(m_version, row);
     }
-    for (const gateway::store_row& row : what.m_removals) {
-        m_rows.erase({row.m_table, row.m_key});
+    for (gateway::store_row row : what.m_removals) {
+        if (m_rows.erase({row.m_table, row.m_key}) > 0) {
+            row.m_version = m_version;
+            row.m_removed = true;
+            m_history.emplace(m_version, row);
+        }
     }
     if (m_loses_change_answers) {
         m_clock.after(client_timeout, [done] { done({.m_status = store_status::unknown}); });
     } else {
-        const bool heartbeat = !what.m_writes.empty() && what.m_writes.front().m_key.starts_with("member/");
+        const bool heartbeat =
+            !what.m_writes.empty() && (what.m_writes.front().m_key.starts_with("member/") ||
+                                       what.m_writes.front().m_key.starts_with("renewals/"));
         const bool late = heartbeat && m_slow_heartbeat_clients.contains(name);
         m_clock.after(late ? late_answer_time : answer_time, [done, version = m_version] {
             done({.m_status = store_status::done, .m_version = version});
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -65,6 +65,8 @@
     /// Returns whether a fault applies to the call; `done` is then called with its outcome.
     [[nodiscard]] bool apply_fault(const std::string& name, const gateway::store_callback& done);
     void answer(const gateway::store_callback& done, gateway::store_answer reply);
+    void read_changes(const std::string& name, const std::string& table, std::uint64_t version,
+                      gateway::store_callback done);
     void change(const std::string& name, const gateway::store_change& what,
                 const gateway::store_callback& done);
     void watch(const std::string& name, const std::string& table, std::uint64_t version, milliseconds wait,
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmount::test {
@@ -149,13 +150,32 @@
         }
     };
     m_clock.after(timeout, [complete] { complete(std::nullopt); });
-    m_clock.after(path_delay, [this, peer = found->second.get(), request, complete] {
-        peer->serve_store_request(request, [this, complete](const std::optional<std::string>& reply) {
-            m_clock.after(path_delay, [complete, reply] { complete(reply); });
+    std::string sent = request;
+    if (m_knows_no_renewals) {
+        auto question = gateway::decode_question(request);
+        if (auto* change = std::get_if<gateway::store_change>(&*question)) {
+            change->m_renewal.reset();
+            sent = gateway::encode_question(*question);
+        }
+    }
+    transfer(from, sent.size(), [this, to, peer = found->second.get(), sent, complete] {
+        peer->serve_store_request(sent, [this, to, complete](const std::optional<std::string>& reply) {
+            transfer(to, reply ? reply->size() : 0, [complete, reply] { complete(reply); });
         });
     });
 }
 
+void gateway_fleet::transfer(const std::string& from, std::size_t bytes, std::function<void()> work) {
+    m_peer_bytes += bytes;
+    const steady_time now = m_clock.now();
+    steady_time& busy_until = m_link_busy_until[from];
+    if (m_link_rate > 0) {
+        busy_until = std::max(busy_until, now) + milliseconds{bytes / m_link_rate};
+    }
+    const auto queued = std::chrono::ceil<milliseconds>(std::max(busy_until, now) - now);
+    m_clock.after(path_delay + queued, std::move(work));
+}
+
 void gateway_fleet::remove_instance(const std::string& name) {
     auto found = m_instances.extract(name);
     m_removed.push_back(std::move(found.mapped()));
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -72,6 +72,10 @@
     bool m_loses_promotion_answers{false};
     std::set<std::string> m_powered_off; ///< Instances whose addresses do not answer.
     std::set<std::string> m_isolated;    ///< Instances that neither reach others nor are reached by them.
+    /// Bytes per millisecond that an instance can send to others; 0: no limit.
+    std::size_t m_link_rate{0};
+    std::size_t m_peer_bytes{0};     ///< Sent between instances so far.
+    bool m_knows_no_renewals{false}; ///< Relays are of the version before and ignore renewals.
 
 private:
     [[nodiscard]] gateway::gateway_ports ports(const std::string& name);
@@ -80,6 +84,10 @@
                            milliseconds timeout,
                            const std::function<void(std::optional<std::string>)>& done);
 
+    /// Calls `work` once `bytes` have left the link of instance `from`.
+    void transfer(const std::string& from, std::size_t bytes, std::function<void()> work);
+
+    std::map<std::string, steady_time> m_link_busy_until; ///< Key: name of the sending instance.
     std::map<std::string, std::unique_ptr<gateway::gateway>> m_instances;
     std::vector<std::unique_ptr<gateway::gateway>> m_removed; ///< Deferred calls may still refer to them.
     int m_starts{0};
