Repeat an instance's record when the store shows another

Cause: heartbeats no longer repeat the record, so one that the store applied late would stay in place of a newer one, with an older acknowledgement, and a change of primary would wait for the instance for ever. Change: each poll compares the own row with the record last reported. Also a test that renewals through a relay hold back a change of primary.

--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -30,7 +30,7 @@
 
 class member_directory {
 public:
-    explicit member_directory(std::string own_name) : m_own_key(member_prefix + own_name) {}
+    explicit member_directory(const std::string& own_name) : m_own_key(member_prefix + own_name) {}
 
     /// Takes in an answer of the store that was read at `as_of`. Returns whether it was applied; one
     /// older than the newest applied is not.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -380,13 +380,13 @@
 }
 
 /// Renewals do not repeat the record. If the store applied an older heartbeat late, the record there
-/// is not the one last reported.
+/// is not the one last reported, and is written again.
 void fleet_coordinator::check_own_row() {
     const auto own = m_directory.members().find(member_prefix + m_options.m_name);
     const bool as_reported =
         own != m_directory.members().end() && m_reported_record == own->second.m_record;
-    if (m_reported_record && !as_reported && !m_heartbeat_in_flight) {
-        m_reported_record.reset();
+    if (m_reported_record && !as_reported) {
+        m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
     }
 }
 
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -422,3 +422,43 @@
     }
     BOOST_TEST(fleet.instance(coordinator).forwarding_target("pay").has_value());
 }
+
+/// A heartbeat that the store applies late overwrites a newer one. The instance's later heartbeats do
+/// not repeat its record by themselves, and a change of primary would wait for its acknowledgement.
+BOOST_AUTO_TEST_CASE(an_instance_restores_its_row_after_an_older_heartbeat_overwrote_it) {
+    test::gateway_fleet fleet(3);
+    fleet.run_for(10000ms);
+    const std::string key = gateway::member_prefix + "i2";
+    const std::string newest = fleet.m_store.value(gateway::members_table, key);
+    auto older = gateway::parse_member_record(newest);
+    BOOST_REQUIRE(older.has_value());
+    older->m_acknowledged_version = 0;
+    fleet.m_store.put(gateway::members_table, key, gateway::to_text(*older));
+    fleet.run_for(6000ms);
+    BOOST_TEST(fleet.m_store.value(gateway::members_table, key) == newest);
+    fleet.m_upstreams.at("orders-1").m_entry.m_leaving = true;
+    fleet.publish_registry();
+    fleet.run_for(4000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+    expect_writes_to_succeed(fleet, 3);
+}
+
+/// Heartbeats that a relay publishes for others are as good as their own: as long as one of an
+/// isolated instance may still be in force, no replica is promoted past it.
+BOOST_AUTO_TEST_CASE(a_lease_renewed_through_a_relay_holds_back_a_change_of_primary) {
+    test::gateway_fleet fleet(30);
+    fleet.run_for(12000ms);
+    const int coordinator = coordinator_of(fleet, 30);
+    const int isolated = coordinator == 30 ? 29 : 30;
+    const std::string name = "i" + std::to_string(isolated);
+    fleet.m_store.m_refused_clients = {name};
+    fleet.m_isolated = {name};
+    fleet.m_upstreams.at("orders-1").m_entry.m_leaving = true;
+    fleet.publish_registry();
+    // The lease of 10 s was renewed at most 4.5 s before: an interval and a batch delay.
+    fleet.run_for(5000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 0);
+    fleet.run_for(15000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+    BOOST_TEST(!write_succeeds(fleet, isolated, 100ms));
+}
