Repeat records while an instance of the version before is registered

Cause: such an instance judges others by changes of their rows. With renewals published elsewhere a live instance would seem silent to it, and its lease lapsed; as active coordinator it would promote past an instance that still uses the old primary. Change: no renewals while a live instance names no acknowledged version. What is left is in the design note: one that is added later is noticed at the next poll.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -139,6 +139,7 @@
     void adopt_group_record(const group_name& name, group_service& group);
     [[nodiscard]] const fleet_intervals& intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
+    [[nodiscard]] bool has_older_version() const;
     [[nodiscard]] member_record own_record() const;
     void heartbeat(milliseconds batch_delay);
     [[nodiscard]] bool has_urgent_report() const;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -166,6 +166,15 @@
     group.adopt_record(*record, [this, name, epoch] { m_own_acknowledged_epochs[name] = epoch; });
 }
 
+/// An instance of the version before knows neither acknowledged versions nor renewals: to it, one that
+/// does not repeat its record is silent, and its lease lapsed.
+bool fleet_coordinator::has_older_version() const {
+    const auto& members = m_directory.members();
+    return std::any_of(members.begin(), members.end(), [&](const auto& each) {
+        return !each.second.m_record.m_acknowledged_version && is_alive(each.second);
+    });
+}
+
 member_record fleet_coordinator::own_record() const {
     member_record record{.m_name = m_options.m_name,
                          .m_incarnation = m_options.m_incarnation,
@@ -176,11 +185,7 @@
                          .m_leaving = m_resigned,
                          .m_processor_millis = m_options.m_processor_millis,
                          .m_acknowledged_version = own_acknowledged_version()};
-    const bool serves_older_version =
-        std::any_of(m_directory.members().begin(), m_directory.members().end(), [&](const auto& each) {
-            return !each.second.m_record.m_acknowledged_version && is_alive(each.second);
-        });
-    if (serves_older_version) {
+    if (has_older_version()) {
         record.m_acknowledged_epochs = m_own_acknowledged_epochs;
     }
     for (const auto& [name, group] : m_groups) {
@@ -207,7 +212,8 @@
     const bool renews = m_is_active;
     store_change change{.m_expected = heartbeat_conditions(renews),
                         .m_max_batch_delay = renews ? milliseconds{0} : batch_delay};
-    if (!renews && m_reported_record == record && now >= m_report_whole_record_until) {
+    const bool repeats_record = now < m_report_whole_record_until || has_older_version();
+    if (!renews && m_reported_record == record && !repeats_record) {
         change.m_renewal =
             lease_renewal{.m_incarnation = m_options.m_incarnation, .m_count = ++m_renewal_count};
     } else {
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 using kind = gateway::statement_kind;
@@ -462,3 +464,33 @@
     BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
     BOOST_TEST(!write_succeeds(fleet, isolated, 100ms));
 }
+
+/// An instance of the version before judges others by the changes of their rows. If a live row stood
+/// still for a lease, it would promote past an instance that still uses the old primary.
+BOOST_AUTO_TEST_CASE(records_are_repeated_while_an_instance_of_the_version_before_is_registered) {
+    test::gateway_fleet fleet(3);
+    gateway::member_record old{.m_name = "old", .m_incarnation = "old"};
+    const auto version_of = [&](const std::string& name) {
+        const auto table = fleet.m_store.read_snapshot("i1", gateway::members_table).m_answer;
+        const auto row = std::find_if(table.m_rows.begin(), table.m_rows.end(), [&](const auto& each) {
+            return each.m_key == gateway::member_prefix + name;
+        });
+        return row == table.m_rows.end() ? 0 : row->m_version;
+    };
+    const auto heartbeat = [&] {
+        old.m_leaving = !old.m_leaving;
+        fleet.m_store.put(gateway::members_table, gateway::member_prefix + "old", gateway::to_text(old));
+        fleet.run_for(1500ms);
+    };
+    heartbeat();
+    heartbeat();
+    heartbeat();
+    for (int period = 0; period < 6; ++period) {
+        const std::uint64_t before = version_of("i2");
+        heartbeat();
+        heartbeat();
+        BOOST_TEST(version_of("i2") > before);
+    }
+    const std::string row = fleet.m_store.value(gateway::members_table, gateway::member_prefix + "i2");
+    BOOST_TEST(!gateway::parse_member_record(row)->m_acknowledged_epochs.empty());
+}
