Log the store's era and the versions that are compared

The timeline of the restored store fits two causes: copies that compare versions across the restore, and heartbeats whose conditions do.

--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -281,6 +281,11 @@
             });
         return found == reply.m_rows.end() ? 0 : found->m_version;
     };
+    log_event(log_level::info, "heartbeat.conflict",
+              {{"known_records", std::to_string(m_records_head)},
+               {"stored_records", std::to_string(version_of(records_head_key))},
+               {"copy_version", std::to_string(m_records.version())},
+               {"store_version", std::to_string(reply.m_version)}});
     m_records_head = version_of(records_head_key);
     if (m_records.version() < m_records_head) {
         m_records.refresh();
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -79,7 +79,8 @@
 void table_follower::on_answer(bool snapshot, const store_answer& reply) {
     switch (reply.m_status) {
     case store_status::history_gone:
-        log_event(log_level::info, "store.history_gone", {{"table", m_options.m_table}});
+        log_event(log_level::info, "store.history_gone",
+                  {{"table", m_options.m_table}, {"known_version", std::to_string(m_copy.version())}});
         send_request(true);
         return;
     case store_status::refused:
@@ -95,7 +96,10 @@
         break;
     }
     if (m_unavailable_since) {
-        log_event(log_level::info, "store.regained", {{"table", m_options.m_table}});
+        log_event(log_level::info, "store.regained",
+                  {{"table", m_options.m_table},
+                   {"known_version", std::to_string(m_copy.version())},
+                   {"store_version", std::to_string(reply.m_version)}});
         m_unavailable_since.reset();
         m_recovered_at = m_clock.m_now();
     }
