Show in virtual time that a restored store ends configuration and writes

The fake store can come back from an older copy, and the gateway fixture can follow its configuration from the store.

--- /dev/null
+++ b/test/gateway/restored_store.cpp
@@ -0,0 +1,128 @@
+/// \file restored_store.cpp
+/// The metadata store comes back from an older copy: what was written since is gone, and versions are
+/// given out again. Tables stay current, leases are renewed, and nothing goes back that was in force.
+#include "support/gateway_fleet.hpp"
+
+#include "anvilmount/gateway/table_follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using kind = gateway::statement_kind;
+
+namespace {
+
+/// A follower of table "t", as instances follow their configuration.
+struct followed_table {
+    test::manual_clock m_clock;
+    test::fake_store m_store{m_clock};
+    gateway::clock_port m_clock_port{m_clock.port()};
+    gateway::store_port m_port{m_store.port("i1")};
+    gateway::table_follower m_follower{
+        {.m_table = "t", .m_watch_timeout = 2000ms}, m_clock_port, m_port, [](const auto&) {}};
+
+    followed_table() {
+        m_store.put("t", "a", "1");
+        m_follower.start();
+        m_clock.run_for(50ms);
+    }
+
+    [[nodiscard]] std::string value(const std::string& key) const {
+        const auto row = m_follower.rows().find(key);
+        return row == m_follower.rows().end() ? "none" : row->second.m_value;
+    }
+};
+
+/// Uses up versions, as upstreams do that register again and again.
+void use_versions(test::fake_store& store) {
+    for (int change = 0; change < 200; ++change) {
+        store.put("servers", "busy", std::to_string(change));
+    }
+}
+
+/// The store is unreachable for 2 s and comes back as it was at `earlier`.
+void restore(test::gateway_fleet& fleet, const std::shared_ptr<const test::fake_store::backup>& earlier) {
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(2000ms);
+    fleet.m_store.m_unreachable = false;
+    fleet.m_store.restore(earlier);
+}
+
+bool write_succeeds(test::gateway_fleet& fleet, int instance) {
+    test::test_caller caller(fleet.instance(instance), "pay");
+    caller.send(kind::write, "WRITE 1 a");
+    fleet.run_for(200ms);
+    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(a_change_made_after_the_store_went_back_reaches_the_copy) {
+    followed_table table;
+    const auto earlier = table.m_store.back_up();
+    for (int change = 0; change < 10; ++change) {
+        table.m_store.put("t", "a", "lost " + std::to_string(change));
+    }
+    table.m_clock.run_for(50ms);
+    table.m_store.restore(earlier);
+    table.m_store.put("t", "a", "2");
+    table.m_store.put("t", "b", "3");
+    table.m_clock.run_for(5000ms);
+    BOOST_TEST(table.value("a") == "2");
+    BOOST_TEST(table.value("b") == "3");
+}
+
+BOOST_AUTO_TEST_CASE(following_a_store_that_went_back_costs_no_more_calls_than_before) {
+    followed_table table;
+    const auto earlier = table.m_store.back_up();
+    for (int change = 0; change < 10; ++change) {
+        table.m_store.put("t", "a", "lost " + std::to_string(change));
+    }
+    table.m_clock.run_for(50ms);
+    table.m_store.restore(earlier);
+    const int before = table.m_store.m_calls;
+    table.m_clock.run_for(20000ms);
+    BOOST_TEST(table.m_store.m_calls - before <= 15);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_stored_after_the_store_went_back_is_in_force) {
+    test::gateway_fleet fleet(3);
+    fleet.follow_configuration();
+    fleet.put_configuration(5);
+    fleet.run_for(1000ms);
+    const auto earlier = fleet.m_store.back_up();
+    use_versions(fleet.m_store);
+    fleet.put_configuration(9);
+    fleet.run_for(6000ms);
+    restore(fleet, earlier);
+    fleet.run_for(500ms);
+    fleet.put_configuration(9);
+    fleet.run_for(4000ms);
+    fleet.put_configuration(11);
+    fleet.run_for(3000ms);
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST(fleet.instance(number).revision() == 11U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(writes_go_on_after_the_store_lost_a_change_of_primary_and_a_configuration) {
+    test::gateway_fleet fleet(3);
+    fleet.follow_configuration();
+    fleet.put_configuration(5);
+    fleet.run_for(1000ms);
+    const auto earlier = fleet.m_store.back_up();
+    use_versions(fleet.m_store);
+    fleet.put_configuration(9);
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(9000ms);
+    BOOST_REQUIRE(fleet.m_upstreams.m_promotions == 1);
+    restore(fleet, earlier);
+    fleet.run_for(500ms);
+    fleet.put_configuration(9);
+    for (int second = 0; second < 30; ++second) {
+        fleet.run_for(800ms);
+        BOOST_TEST(write_succeeds(fleet, 1 + second % 3));
+    }
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+}
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -1,7 +1,7 @@
 /// \file fake_store.hpp
 /// In-memory metadata store for tests in virtual time. Its faults: being unreachable,
 /// refusing single clients, losing the answers of changes that it made, answering
-/// late, and discarding its change history.
+/// late, discarding its change history, and coming back from an older copy.
 #pragma once
 
 #include "support/manual_clock.hpp"
@@ -10,6 +10,7 @@
 
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,14 @@
     /// Discards the change history, so that watches from earlier versions answer history_gone.
     void forget_history();
 
+    /// The store's contents at one moment.
+    struct backup;
+    [[nodiscard]] std::shared_ptr<const backup> back_up() const;
+
+    /// Goes back to `earlier`: what was written since is gone, and its versions are given out again.
+    /// Watches from versions that the store no longer has are answered with history_gone.
+    void restore(const std::shared_ptr<const backup>& earlier);
+
     bool m_unreachable{false};               ///< No call is answered.
     std::set<std::string> m_refused_clients; ///< These clients are refused.
     bool m_loses_change_answers{false};
@@ -83,4 +92,11 @@
     std::list<std::shared_ptr<waiter>> m_waiters;
 };
 
+struct fake_store::backup {
+    std::map<row_key, gateway::store_row> m_rows{};
+    std::multimap<std::uint64_t, gateway::store_row> m_history{};
+    std::uint64_t m_version{0};
+    std::uint64_t m_oldest_version{0};
+};
+
 }
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -63,6 +63,15 @@
     /// Passes the current registry of upstreams to every instance.
     void publish_registry();
 
+    /// From now on every instance takes its configuration from the store, and writes its heartbeats on
+    /// the condition that it has the newest.
+    void follow_configuration();
+    /// Stores the configuration `revision`: the databases of before, and one named after the revision.
+    void put_configuration(std::uint64_t revision);
+    [[nodiscard]] static std::string database_of(std::uint64_t revision) {
+        return "db" + std::to_string(revision);
+    }
+
     manual_clock m_clock;
     gateway::clock_port m_clock_port{m_clock.port()};
     fake_store m_store{m_clock};
@@ -88,6 +97,12 @@
     void transfer(const std::string& from, std::size_t bytes, std::function<void()> work);
 
     std::map<std::string, steady_time> m_link_busy_until; ///< Key: name of the sending instance.
+    void start_following_configuration(const std::string& name);
+    void refresh_configuration(const std::string& name);
+
+    bool m_follows_configuration{false};
+    std::map<std::string, std::shared_ptr<gateway::table_follower>> m_configuration_followers;
+    std::vector<std::shared_ptr<gateway::table_follower>> m_removed_followers;
     std::map<std::string, std::unique_ptr<gateway::gateway>> m_instances;
     std::vector<std::unique_ptr<gateway::gateway>> m_removed; ///< Deferred calls may still refer to them.
     int m_starts{0};
