--- a/libs/decisions/include/anvilmount/decisions/record_acknowledgement.hpp
+++ b/libs/decisions/include/anvilmount/decisions/record_acknowledgement.hpp
@@ -5,18 +5,19 @@
 /// fraction of a second that these may take.
 #pragma once
 
-#include <cstdint>
+#include "anvilmount/decisions/store_version.hpp"
+
 #include <span>
 
 namespace anvilmount {
 
 /// One row of the records table.
 struct record_state {
-    std::uint64_t m_version{0};
+    store_version m_version{};
     bool m_acknowledged{false};
 };
 
-/// Returns the greatest version up to which every record is acknowledged; 0 when there is none.
-[[nodiscard]] std::uint64_t acknowledged_version(std::span<const record_state> records);
+/// Returns the greatest version up to which every record is acknowledged; unset when there is none.
+[[nodiscard]] store_version acknowledged_version(std::span<const record_state> records);
 
 }
--- a/libs/decisions/src/record_acknowledgement.cpp
+++ b/libs/decisions/src/record_acknowledgement.cpp
@@ -3,20 +3,24 @@
 #include "anvilmount/decisions/record_acknowledgement.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <optional>
 
 namespace anvilmount {
 
-std::uint64_t acknowledged_version(std::span<const record_state> records) {
-    std::uint64_t newest = 0;
-    std::uint64_t first_pending = std::numeric_limits<std::uint64_t>::max();
+store_version acknowledged_version(std::span<const record_state> records) {
+    store_version newest;
+    std::optional<store_version> first_pending;
     for (const record_state& record : records) {
         newest = std::max(newest, record.m_version);
         if (!record.m_acknowledged) {
-            first_pending = std::min(first_pending, record.m_version);
+            first_pending = first_pending ? std::min(*first_pending, record.m_version) : record.m_version;
         }
     }
-    return first_pending > newest ? newest : first_pending - 1;
+    if (!first_pending) {
+        return newest;
+    }
+    // A row's number is at least 1.
+    return {.m_era = first_pending->m_era, .m_number = first_pending->m_number - 1};
 }
 
 }
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -83,6 +83,9 @@
     /// every few milliseconds.
     void tick();
 
+    /// The store came back from an older copy: reads everything again and registers anew.
+    void on_new_era(std::uint64_t era);
+
     /// Gives up the active role and never takes it again.
     void resign();
 
@@ -152,7 +155,7 @@
     void adopt_coordinator_row();
     void check_own_row();
     void remove_stale_renewals();
-    [[nodiscard]] std::uint64_t own_acknowledged_version() const;
+    [[nodiscard]] store_version own_acknowledged_version() const;
     /// Returns how many live instances take the active role before this one.
     [[nodiscard]] int successor_rank() const;
     [[nodiscard]] bool is_active_coordinator_gone();
@@ -177,12 +180,13 @@
     member_directory m_directory;
     table_follower m_records;
     /// Per group, the version of the records table's row that was last adopted here.
-    std::map<group_name, std::uint64_t> m_adopted_row_versions;
+    std::map<group_name, store_version> m_adopted_row_versions;
     /// Per group, the epoch of the newest record that this instance has acknowledged.
     std::map<group_name, std::uint64_t> m_own_acknowledged_epochs;
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
+    std::uint64_t m_era{0}; ///< Of the store.
     /// Version of the newest change of any record, as far as known.
-    std::uint64_t m_records_head{0};
+    store_version m_records_head;
     /// When the last successful heartbeat was sent.
     std::optional<steady_time> m_last_heartbeat_at;
     bool m_last_heartbeat_failed{false};
@@ -201,7 +205,7 @@
     /// Polls sent at the shorter startup delays.
     std::size_t m_startup_polls{0};
     coordinator_record m_coordinator_record;
-    std::uint64_t m_coordinator_version{0};
+    store_version m_coordinator_version;
     steady_time m_coordinator_changed_at{};
     /// Since when this instance has found no live active coordinator.
     std::optional<steady_time> m_coordinator_gone_since;
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -9,6 +9,7 @@
 #include "anvilmount/base/identifiers.hpp"
 #include "anvilmount/decisions/group_record.hpp"
 #include "anvilmount/decisions/lease_renewals.hpp"
+#include "anvilmount/decisions/store_version.hpp"
 
 #include <cstdint>
 #include <map>
@@ -46,7 +47,7 @@
     std::uint32_t m_processor_millis{0};
     /// Version of the records table up to which all records are acknowledged; unset in rows of
     /// versions that report m_acknowledged_epochs only.
-    std::optional<std::uint64_t> m_acknowledged_version{};
+    std::optional<store_version> m_acknowledged_version{};
     /// Per group, the epoch of the newest acknowledged record, for instances of versions that do not
     /// know m_acknowledged_version.
     std::map<group_name, std::uint64_t> m_acknowledged_epochs{};
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/fleet_coordinator.hpp"
 #include "anvilmount/gateway/store_access.hpp"
+#include "anvilmount/gateway/store_era.hpp"
 #include "anvilmount/gateway/store_relay.hpp"
 
 #include <nlohmann/json.hpp>
@@ -144,6 +145,7 @@
         std::function<void()> m_work{};
     };
 
+    void on_new_era(std::uint64_t era);
     void admit_deferred_callers();
     void apply_registry();
     void apply_groups();
@@ -158,6 +160,7 @@
     gateway_options m_options;
     gateway_ports m_ports;
     metrics m_metrics;
+    store_era m_era;
     store_access m_store;
     store_relay m_relay;
     /// Time of the last members poll that was applied here.
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -20,7 +20,7 @@
 /// An instance's record, and when this instance last saw a heartbeat of it.
 struct known_member {
     member_record m_record{};
-    std::uint64_t m_version{0};
+    store_version m_version{};
     /// Later than the heartbeat itself by up to a poll interval, never earlier.
     steady_time m_heartbeat_seen_at{};
     /// The process refused a probe since its last heartbeat.
@@ -43,8 +43,8 @@
     /// When the newest applied answer was read; the epoch of the clock before the first.
     [[nodiscard]] steady_time read_at() const { return m_read_at; }
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
-    /// Version of the store as known here; 0 before the first answer, and of an empty store.
-    [[nodiscard]] std::uint64_t version() const { return m_version; }
+    /// Version of the store as known here; unset before the first answer, and of an empty store.
+    [[nodiscard]] const store_version& version() const { return m_version; }
     /// Whether the first answer listed this instance: its process was restarted, and the instances
     /// that were registered before are known.
     [[nodiscard]] bool was_registered() const { return m_was_registered; }
@@ -52,7 +52,7 @@
     /// The active coordinator's row; nothing while there is none.
     [[nodiscard]] const std::optional<store_row>& coordinator_row() const { return m_coordinator_row; }
     /// Version of the newest change of any group's record, as far as the members table tells.
-    [[nodiscard]] std::uint64_t records_head() const { return m_records_head; }
+    [[nodiscard]] const store_version& records_head() const { return m_records_head; }
 
     /// Returns the rows of published renewals that have not changed for `duration`: the processes
     /// that wrote them no longer relay.
@@ -60,7 +60,7 @@
 
 private:
     struct renewal_row {
-        std::uint64_t m_version{0};
+        store_version m_version{};
         steady_time m_changed_at{};
     };
 
@@ -75,8 +75,8 @@
     std::map<std::string, renewal_row> m_renewal_rows; ///< Key: row key.
     observed_renewals m_renewals;
     std::optional<store_row> m_coordinator_row;
-    std::uint64_t m_records_head{0};
-    std::uint64_t m_version{0};
+    store_version m_records_head;
+    store_version m_version;
     steady_time m_read_at{};
     bool m_loaded{false};
     bool m_was_registered{false};
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -8,6 +8,7 @@
 #include "anvilmount/base/endpoint.hpp"
 #include "anvilmount/base/identifiers.hpp"
 #include "anvilmount/base/time.hpp"
+#include "anvilmount/decisions/store_version.hpp"
 #include "anvilmount/gateway/messages.hpp"
 
 #include <cstdint>
@@ -85,17 +86,19 @@
     std::string m_table{};
     std::string m_key{};
     std::string m_value{};
-    std::uint64_t m_version{0}; ///< 0 if the row does not exist.
-    bool m_removed{false};      ///< Set in answers to a watch if the row was deleted.
+    store_version m_version{}; ///< Unset if the row does not exist.
+    bool m_removed{false};     ///< Set in answers to a watch if the row was deleted.
 };
 
 /// What became of a request to the store.
 enum class store_status {
     done,
-    conflict,     ///< An expected version did not match; nothing was changed.
-    refused,      ///< The store rejected the request; nothing was changed.
-    unknown,      ///< No answer: the change may have been applied, or may still be applied.
-    history_gone, ///< The version to watch from is too old; read the whole table again.
+    conflict, ///< An expected version did not match; nothing was changed.
+    refused,  ///< The store rejected the request; nothing was changed.
+    unknown,  ///< No answer: the change may have been applied, or may still be applied.
+    /// The store has no history from the version in the request on: it is too old, or was given out
+    /// before the store came back from an older copy. Nothing was changed; read the whole table again.
+    history_gone,
 };
 
 /// The store's answer to a read, a change or a watch.
@@ -103,8 +106,8 @@
     store_status m_status{store_status::refused};
     /// Rows read or changed. After a conflict, the present rows that m_expected named.
     std::vector<store_row> m_rows{};
-    std::uint64_t m_version{0}; ///< Newest version in the store when it answered.
-    milliseconds m_age{0};      ///< Time since the store was read; above 0 only for relayed answers.
+    store_version m_version{}; ///< Newest version in the store when it answered.
+    milliseconds m_age{0};     ///< Time since the store was read; above 0 only for relayed answers.
     /// m_rows holds only the rows that changed after the version asked for, removed ones included.
     /// Otherwise m_rows is the whole table.
     bool m_is_delta{false};
@@ -134,11 +137,14 @@
 struct store_port {
     std::function<void(const std::string& table, store_callback)> m_read_table{};
     /// Answers at once with the rows of `table` that changed after `version`. The answer is either a
-    /// delta or, when `version` is 0 or too old, the whole table or history_gone.
-    std::function<void(const std::string& table, std::uint64_t version, store_callback)> m_read_changes{};
+    /// delta or, when `version` is unset or the store's history does not reach back to it, the whole table
+    /// or history_gone.
+    std::function<void(const std::string& table, const store_version& version, store_callback)>
+        m_read_changes{};
     std::function<void(const store_change&, store_callback)> m_change{};
     /// Answers once a row of `table` has changed after `version`, or with no rows after `wait`.
-    std::function<void(const std::string& table, std::uint64_t version, milliseconds wait, store_callback)>
+    std::function<void(const std::string& table, const store_version& version, milliseconds wait,
+                       store_callback)>
         m_watch{};
 };
 
--- a/libs/gateway/include/anvilmount/gateway/store_access.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_access.hpp
@@ -6,6 +6,7 @@
 
 #include "anvilmount/decisions/store_path.hpp"
 #include "anvilmount/gateway/ports.hpp"
+#include "anvilmount/gateway/store_era.hpp"
 #include "anvilmount/gateway/store_questions.hpp"
 #include "anvilmount/observe/metrics.hpp"
 
@@ -19,9 +20,9 @@
 /// Offers the store as a store_port that picks the path of each request.
 class store_access {
 public:
-    /// `direct` reaches the store over this instance's own connections, `send_peer_request` sends a
+    /// `era` reaches the store over this instance's own connections, `send_peer_request` sends a
     /// request to another instance.
-    store_access(const clock_port& clock, const store_port& direct, peer_request send_peer_request,
+    store_access(const clock_port& clock, store_era& era, peer_request send_peer_request,
                  metrics& counters);
     ~store_access() = default;
     store_access(const store_access&) = delete;
@@ -72,6 +73,7 @@
     [[nodiscard]] store_path choose() const;
 
     const clock_port& m_clock;
+    store_era& m_era;
     const store_port& m_direct;
     peer_request m_send_peer_request;
     metrics& m_metrics;
--- a/libs/gateway/include/anvilmount/gateway/store_questions.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_questions.hpp
@@ -15,7 +15,7 @@
 /// Reads a table, or its changes after a version.
 struct read_question {
     std::string m_table{};
-    std::uint64_t m_after_version{0}; ///< 0: the whole table is read.
+    store_version m_after_version{}; ///< Unset: the whole table is read.
     /// Directly, the answer comes from the copy that this instance shares with others. Not sent to
     /// relays, which do so for each read.
     bool m_shares_copy{false};
@@ -24,7 +24,7 @@
 /// Waits for changes of a table after a version.
 struct follow_question {
     std::string m_table{};
-    std::uint64_t m_after_version{0};
+    store_version m_after_version{};
     milliseconds m_timeout{0};
 };
 
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -24,9 +24,9 @@
     /// Called with the encoded reply; with nothing when the request could not be decoded.
     using responder = std::function<void(std::optional<std::string>)>;
 
-    /// `direct` reaches the store over this instance's own connections: a request is never relayed
+    /// `era` reaches the store over this instance's own connections: a request is never relayed
     /// twice. `renewals` names the row in which renewals are published; no other process writes it.
-    store_relay(const clock_port& clock, const store_port& direct, store_access& access, metrics& counters,
+    store_relay(const clock_port& clock, const store_era& era, store_access& access, metrics& counters,
                 store_row renewals);
     ~store_relay() = default;
     store_relay(const store_relay&) = delete;
@@ -78,6 +78,7 @@
         std::vector<waiting_reader> m_waiting{};
     };
 
+    void assume_current_era(store_question& request) const;
     /// Returns the local copy of the table; nullptr when there is none, it is not current or it is
     /// itself read through a relay.
     [[nodiscard]] const table_follower* usable_copy(const std::string& table) const;
@@ -94,6 +95,7 @@
     void send_due_batch();
 
     const clock_port& m_clock;
+    const store_era& m_era;
     const store_port& m_direct;
     store_access& m_access;
     metrics& m_metrics;
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -41,7 +41,7 @@
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
     [[nodiscard]] const table_copy& copy() const { return m_copy; }
     /// Version of the store up to which the copy is current.
-    [[nodiscard]] std::uint64_t version() const { return m_copy.version(); }
+    [[nodiscard]] const store_version& version() const { return m_copy.version(); }
     [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_copy.rows(); }
 
     /// Since when requests have gone unanswered or been refused; unset while the store answers.
@@ -65,6 +65,7 @@
     /// Of the newest request; answers to older ones are ignored.
     std::uint64_t m_request_number{0};
     int m_consecutive_failures{0};
+    bool m_history_lost{false}; ///< No watch has succeeded since one was answered with history_gone.
     std::optional<steady_time> m_unavailable_since;
     steady_time m_recovered_at{};
 };
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -85,9 +85,9 @@
 /// Whether `member` has acknowledged the record of `group` that has `epoch` and is stored as
 /// `record_version`.
 bool has_acknowledged(const member_record& member, const group_name& group, std::uint64_t epoch,
-                      std::uint64_t record_version) {
+                      const store_version& record_version) {
     if (member.m_acknowledged_version) {
-        return record_version > 0 && *member.m_acknowledged_version >= record_version;
+        return record_version.is_set() && *member.m_acknowledged_version >= record_version;
     }
     const auto found = member.m_acknowledged_epochs.find(group);
     return found != member.m_acknowledged_epochs.end() && found->second >= epoch;
@@ -107,6 +107,29 @@
     poll_members();
 }
 
+void fleet_coordinator::on_new_era(std::uint64_t era) {
+    const bool is_first = m_era == 0;
+    m_era = era;
+    if (is_first) {
+        return;
+    }
+    log_event(log_level::warning, "store.restored",
+              {{"era", std::to_string(era)},
+               {"records_known", to_string(m_records.version())},
+               {"members_known", to_string(m_directory.version())}});
+    m_records_head = {};
+    m_coordinator_version = {};
+    m_reported_record.reset();
+    if (m_is_active) {
+        step_down();
+    }
+    const steady_time now = m_ports.m_clock->m_now();
+    m_next_poll = now;
+    m_next_heartbeat = now;
+    m_records.refresh();
+    m_ports.m_configuration.m_on_store_recovered();
+}
+
 void fleet_coordinator::on_records() {
     for (const auto& [key, row] : m_records.rows()) {
         m_records_head = std::max(m_records_head, row.m_version);
@@ -135,7 +158,7 @@
 
 /// Reports the records as acknowledged up to the first one whose old primary may still be in use here.
 /// A record of a group that is not configured here concerns no connection of this instance.
-std::uint64_t fleet_coordinator::own_acknowledged_version() const {
+store_version fleet_coordinator::own_acknowledged_version() const {
     std::vector<record_state> states;
     for (const auto& [key, row] : m_records.rows()) {
         const group_name name{key};
@@ -197,8 +220,9 @@
 }
 
 void fleet_coordinator::heartbeat(milliseconds batch_delay) {
-    const bool knows_newest =
-        knows_members() && m_records.is_loaded() && m_records.version() >= m_records_head;
+    const bool knows_newest = knows_members() && m_directory.version().m_era == m_era &&
+                              m_records.is_loaded() && m_records.version().m_era == m_era &&
+                              m_records.version() >= m_records_head;
     if (m_heartbeat_in_flight || m_deregistered || !knows_newest ||
         (m_is_active && m_coordinator_write_in_flight)) {
         return;
@@ -274,18 +298,18 @@
 
 void fleet_coordinator::on_heartbeat_conflict(bool renewed, const store_answer& reply) {
     m_next_heartbeat = m_ports.m_clock->m_now() + min_heartbeat_interval;
-    const auto version_of = [&](const std::string& key) -> std::uint64_t {
+    const auto version_of = [&](const std::string& key) {
         const auto found =
             std::find_if(reply.m_rows.begin(), reply.m_rows.end(), [&](const store_row& row) {
                 return row.m_table == members_table && row.m_key == key;
             });
-        return found == reply.m_rows.end() ? 0 : found->m_version;
+        return found == reply.m_rows.end() ? store_version{} : found->m_version;
     };
     log_event(log_level::info, "heartbeat.conflict",
-              {{"known_records", std::to_string(m_records_head)},
-               {"stored_records", std::to_string(version_of(records_head_key))},
-               {"copy_version", std::to_string(m_records.version())},
-               {"store_version", std::to_string(reply.m_version)}});
+              {{"known_records", to_string(m_records_head)},
+               {"stored_records", to_string(version_of(records_head_key))},
+               {"copy_version", to_string(m_records.version())},
+               {"store_version", to_string(reply.m_version)}});
     m_records_head = version_of(records_head_key);
     if (m_records.version() < m_records_head) {
         m_records.refresh();
@@ -365,7 +389,7 @@
 void fleet_coordinator::adopt_coordinator_row() {
     const auto& row = m_directory.coordinator_row();
     if (!row) {
-        m_coordinator_version = 0;
+        m_coordinator_version = {};
         m_coordinator_changed_at = {};
         return;
     }
@@ -438,7 +462,7 @@
 }
 
 bool fleet_coordinator::is_active_coordinator_gone() {
-    if (m_coordinator_version == 0) {
+    if (!m_coordinator_version.is_set()) {
         return true;
     }
     const steady_time now = m_ports.m_clock->m_now();
@@ -627,7 +651,8 @@
                            [&](const holder_candidate& each) { return each.m_name == instance; });
     };
     const auto row = m_records.rows().find(name.m_text);
-    const std::uint64_t record_version = row == m_records.rows().end() ? 0 : row->second.m_version;
+    const store_version record_version =
+        row == m_records.rows().end() ? store_version{} : row->second.m_version;
     const auto own = m_own_acknowledged_epochs.find(name);
     std::vector<plan_instance> members{
         {.m_has_acknowledged = own != m_own_acknowledged_epochs.end() && own->second >= record.m_epoch,
@@ -739,7 +764,8 @@
 
 void fleet_coordinator::write_record(const group_name& name, const group_record& record) {
     const auto known = m_records.rows().find(name.m_text);
-    const std::uint64_t version = known == m_records.rows().end() ? 0 : known->second.m_version;
+    const store_version version =
+        known == m_records.rows().end() ? store_version{} : known->second.m_version;
     log_event(log_level::info, "steward.writes_record",
               {{"group", name.m_text},
                {"epoch", std::to_string(record.m_epoch)},
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -60,7 +60,8 @@
               {"epochs", epochs},
               {"missing", missing}};
     if (record.m_acknowledged_version) {
-        text["acknowledged"] = *record.m_acknowledged_version;
+        text["acknowledged"] = record.m_acknowledged_version->m_number;
+        text["acknowledged_era"] = record.m_acknowledged_version->m_era;
     }
     return text.dump();
 }
@@ -97,7 +98,8 @@
         record.m_leaving = value.at("leaving").get<bool>();
         record.m_processor_millis = value.value("processor_millis", std::uint32_t{0});
         if (value.contains("acknowledged")) {
-            record.m_acknowledged_version = value.at("acknowledged").get<std::uint64_t>();
+            record.m_acknowledged_version = {.m_era = value.value("acknowledged_era", std::uint64_t{0}),
+                                             .m_number = value.at("acknowledged").get<std::uint64_t>()};
         }
         for (const auto& [group, epoch] : value.at("epochs").items()) {
             record.m_acknowledged_epochs[{group}] = epoch.get<std::uint64_t>();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -50,8 +50,9 @@
 
 gateway::gateway(gateway_options options, gateway_ports ports)
     : m_options(std::move(options)), m_ports(std::move(ports)),
-      m_store(m_ports.m_clock, m_ports.m_store, m_ports.m_send_peer_request, m_metrics),
-      m_relay(m_ports.m_clock, m_ports.m_store, m_store, m_metrics,
+      m_era(m_ports.m_clock, m_ports.m_store, m_metrics),
+      m_store(m_ports.m_clock, m_era, m_ports.m_send_peer_request, m_metrics),
+      m_relay(m_ports.m_clock, m_era, m_store, m_metrics,
               {.m_table = members_table, .m_key = renewals_prefix + m_options.m_incarnation}),
       m_lease(m_options.m_lease),
       m_fleet_coordinator({.m_name = m_options.m_name,
@@ -76,6 +77,13 @@
     }
     m_store.set_order(std::move(initial_order));
     m_relay.share_copy(m_fleet_coordinator.records());
+    m_era.set_handler([this](std::uint64_t era) { on_new_era(era); });
+}
+
+void gateway::on_new_era(std::uint64_t era) {
+    // Registrations may be missing from the older copy.
+    on_registry_regained();
+    m_fleet_coordinator.on_new_era(era);
 }
 
 void gateway::start() {
@@ -466,6 +474,7 @@
             {"steward", m_fleet_coordinator.is_active()},
             {"lease_holds", m_lease.is_valid(now)},
             {"instances", m_fleet_coordinator.live_instances()},
+            {"store_era", m_era.current()},
             {"sessions", m_sessions.size()},
             {"revision", m_configuration.m_revision},
             {"groups", groups},
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -17,6 +17,9 @@
     }
     const bool is_first = !is_loaded();
     m_read_at = as_of;
+    if (reply.m_version.m_era != m_version.m_era) {
+        m_records_head = {};
+    }
     if (!reply.m_is_delta) {
         remove_unlisted(reply);
     }
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -34,33 +34,34 @@
 
 }
 
-store_access::store_access(const clock_port& clock, const store_port& direct,
-                           peer_request send_peer_request, metrics& counters)
-    : m_clock(clock), m_direct(direct), m_send_peer_request(std::move(send_peer_request)),
+store_access::store_access(const clock_port& clock, store_era& era, peer_request send_peer_request,
+                           metrics& counters)
+    : m_clock(clock), m_era(era), m_direct(era.port()), m_send_peer_request(std::move(send_peer_request)),
       m_metrics(counters),
-      m_port{.m_read_table =
-                 [this](const std::string& table, const store_callback& done) {
-                     this->send(read_question{.m_table = table}, table, done);
-                 },
-             .m_read_changes =
-                 [this](const std::string& table, std::uint64_t version, const store_callback& done) {
-                     this->send(
-                         read_question{.m_table = table, .m_after_version = version, .m_shares_copy = true},
-                         table, done);
-                 },
-             .m_change = [this](const store_change& what,
-                                const store_callback& done) { this->send(what, std::string{}, done); },
-             .m_watch =
-                 [this](const std::string& table, std::uint64_t version, milliseconds wait,
-                        const store_callback& done) {
-                     const follow_question request{
-                         .m_table = table, .m_after_version = version, .m_timeout = wait};
-                     if (m_holds_watches) {
-                         m_held_watches.push_back({.m_request = request, .m_done = done});
-                     } else {
-                         this->send(request, table, done);
-                     }
-                 }} {}
+      m_port{
+          .m_read_table =
+              [this](const std::string& table, const store_callback& done) {
+                  this->send(read_question{.m_table = table}, table, done);
+              },
+          .m_read_changes =
+              [this](const std::string& table, const store_version& version, const store_callback& done) {
+                  this->send(
+                      read_question{.m_table = table, .m_after_version = version, .m_shares_copy = true},
+                      table, done);
+              },
+          .m_change = [this](const store_change& what,
+                             const store_callback& done) { this->send(what, std::string{}, done); },
+          .m_watch =
+              [this](const std::string& table, const store_version& version, milliseconds wait,
+                     const store_callback& done) {
+                  const follow_question request{
+                      .m_table = table, .m_after_version = version, .m_timeout = wait};
+                  if (m_holds_watches) {
+                      m_held_watches.push_back({.m_request = request, .m_done = done});
+                  } else {
+                      this->send(request, table, done);
+                  }
+              }} {}
 
 store_path store_access::choose() const {
     const steady_time now = m_clock.m_now();
@@ -123,8 +124,14 @@
     }
     m_metrics.count("store_questions_relayed");
     m_send_peer_request(relay, encode_question(relayed), timeout_for(relayed),
-                        [done](const std::optional<std::string>& bytes) {
-                            const auto reply = bytes ? decode_reply(*bytes) : std::nullopt;
+                        [this, done](const std::optional<std::string>& bytes) {
+                            auto reply = bytes ? decode_reply(*bytes) : std::nullopt;
+                            const bool is_reply = reply && is_answer(reply->m_status);
+                            if (is_reply && !m_era.observe(reply->m_version.m_era)) {
+                                // The relay has not noticed yet that the store came back from an older
+                                // copy, or is of a version that names no era.
+                                reply = std::nullopt;
+                            }
                             done(reply.value_or(store_answer{.m_status = store_status::unknown}));
                         });
 }
--- a/libs/gateway/src/store_questions.cpp
+++ b/libs/gateway/src/store_questions.cpp
@@ -11,7 +11,8 @@
     out.set_table(row.m_table);
     out.set_key(row.m_key);
     out.set_value(row.m_value);
-    out.set_version(row.m_version);
+    out.set_version(row.m_version.m_number);
+    out.set_era(row.m_version.m_era);
     out.set_removed(row.m_removed);
 }
 
@@ -19,7 +20,7 @@
     return {.m_table = row.table(),
             .m_key = row.key(),
             .m_value = row.value(),
-            .m_version = row.version(),
+            .m_version = {.m_era = row.era(), .m_number = row.version()},
             .m_removed = row.removed()};
 }
 
@@ -70,10 +71,12 @@
     peer::store_question out;
     if (const auto* read = std::get_if<read_question>(&request)) {
         out.mutable_read()->set_table(read->m_table);
-        out.mutable_read()->set_after(read->m_after_version);
+        out.mutable_read()->set_after(read->m_after_version.m_number);
+        out.mutable_read()->set_after_era(read->m_after_version.m_era);
     } else if (const auto* follow = std::get_if<follow_question>(&request)) {
         out.mutable_follow()->set_table(follow->m_table);
-        out.mutable_follow()->set_after(follow->m_after_version);
+        out.mutable_follow()->set_after(follow->m_after_version.m_number);
+        out.mutable_follow()->set_after_era(follow->m_after_version.m_era);
         out.mutable_follow()->set_wait_ms(static_cast<std::uint32_t>(follow->m_timeout.count()));
     } else {
         const auto& change = std::get<store_change>(request);
@@ -102,12 +105,15 @@
         return std::nullopt;
     }
     if (in.has_read()) {
-        return read_question{.m_table = in.read().table(), .m_after_version = in.read().after()};
+        return read_question{
+            .m_table = in.read().table(),
+            .m_after_version = {.m_era = in.read().after_era(), .m_number = in.read().after()}};
     }
     if (in.has_follow()) {
-        return follow_question{.m_table = in.follow().table(),
-                               .m_after_version = in.follow().after(),
-                               .m_timeout = milliseconds{in.follow().wait_ms()}};
+        return follow_question{
+            .m_table = in.follow().table(),
+            .m_after_version = {.m_era = in.follow().after_era(), .m_number = in.follow().after()},
+            .m_timeout = milliseconds{in.follow().wait_ms()}};
     }
     if (in.has_change()) {
         store_change change{.m_expected = decode_rows(in.change().expected()),
@@ -129,7 +135,8 @@
     for (const store_row& each : reply.m_rows) {
         encode_row(each, *out.add_rows());
     }
-    out.set_version(reply.m_version);
+    out.set_version(reply.m_version.m_number);
+    out.set_era(reply.m_version.m_era);
     out.set_age_ms(static_cast<std::uint32_t>(reply.m_age.count()));
     out.set_delta(reply.m_is_delta);
     out.set_renewed(reply.m_renewed);
@@ -143,7 +150,7 @@
     }
     return store_answer{.m_status = status_of_outcome(in.result()),
                         .m_rows = decode_rows(in.rows()),
-                        .m_version = in.version(),
+                        .m_version = {.m_era = in.era(), .m_number = in.version()},
                         .m_age = milliseconds{in.age_ms()},
                         .m_is_delta = in.delta(),
                         .m_renewed = in.renewed()};
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -39,9 +39,9 @@
 
 }
 
-store_relay::store_relay(const clock_port& clock, const store_port& direct, store_access& access,
+store_relay::store_relay(const clock_port& clock, const store_era& era, store_access& access,
                          metrics& counters, store_row renewals)
-    : m_clock(clock), m_direct(direct), m_access(access), m_metrics(counters),
+    : m_clock(clock), m_era(era), m_direct(era.port()), m_access(access), m_metrics(counters),
       m_renewal_row(std::move(renewals)) {
     m_access.set_change_batcher(
         [this](const store_change& request, const store_callback& done) { change(request, done); });
@@ -59,17 +59,38 @@
     // Copies that are themselves read through relays are not used: two instances could feed each
     // other without ever reaching the store.
     const bool usable = found != m_copies.end() && found->second->is_loaded() &&
-                        !found->second->unavailable_since() && m_access.is_read_directly(table);
+                        !found->second->unavailable_since() && m_access.is_read_directly(table) &&
+                        found->second->version().m_era == m_era.current();
     return usable ? found->second : nullptr;
 }
 
+/// Instances of the version before name no era. Their versions are taken to be of the present one, as
+/// they do themselves.
+void store_relay::assume_current_era(store_question& request) const {
+    const auto assume = [&](store_version& version) {
+        if (version.m_era == 0 && version.is_set()) {
+            version.m_era = m_era.current();
+        }
+    };
+    if (auto* wanted = std::get_if<read_question>(&request)) {
+        assume(wanted->m_after_version);
+    } else if (auto* followed = std::get_if<follow_question>(&request)) {
+        assume(followed->m_after_version);
+    } else {
+        for (store_row& row : std::get<store_change>(request).m_expected) {
+            assume(row.m_version);
+        }
+    }
+}
+
 void store_relay::serve(const std::string& bytes, responder respond) {
-    const auto request = decode_question(bytes);
+    auto request = decode_question(bytes);
     if (!request) {
         log_event(log_level::warning, "relay.unreadable_question");
         respond(std::nullopt);
         return;
     }
+    assume_current_era(*request);
     m_metrics.count("store_questions_served");
     const store_callback done = [respond = std::move(respond)](const store_answer& reply) {
         respond(encode_reply(reply));
@@ -90,7 +111,7 @@
 
 store_answer store_relay::answer_from(const table_copy& copy, const read_question& request) {
     store_answer reply{.m_status = store_status::done, .m_version = copy.version()};
-    if (request.m_after_version > 0) {
+    if (request.m_after_version.is_set()) {
         if (auto changes = copy.changes_since(request.m_after_version)) {
             reply.m_rows = std::move(*changes);
             reply.m_is_delta = true;
@@ -114,7 +135,8 @@
     }
     const steady_time now = m_clock.m_now();
     polled_table& table = m_polled[request.m_table];
-    if (table.m_copy.version() > 0 && now < table.m_read_at + max_age) {
+    const bool is_current_era = table.m_copy.version().m_era == m_era.current();
+    if (table.m_copy.version().is_set() && is_current_era && now < table.m_read_at + max_age) {
         store_answer reply = answer_from(table.m_copy, request);
         reply.m_age = std::chrono::duration_cast<milliseconds>(now - table.m_read_at);
         done(reply);
@@ -131,7 +153,7 @@
     const auto read_whole = [this, name] {
         m_direct.m_read_table(name, [this, name](const store_answer& reply) { on_refreshed(name, reply); });
     };
-    if (table.m_copy.version() == 0) {
+    if (!table.m_copy.version().is_set()) {
         read_whole();
         return;
     }
@@ -163,8 +185,9 @@
 
 std::optional<store_answer> store_relay::changes_since(const table_copy& copy,
                                                        const follow_question& request) {
-    if (copy.last_removal_version() > request.m_after_version) {
-        return store_answer{.m_status = store_status::history_gone};
+    if (copy.version().m_era != request.m_after_version.m_era ||
+        copy.last_removal_version() > request.m_after_version) {
+        return store_answer{.m_status = store_status::history_gone, .m_version = copy.version()};
     }
     if (copy.newest_row_version() <= request.m_after_version) {
         // Called for every waiting watch at each tick, so it must not iterate over the rows.
--- a/libs/gateway/src/table_copy.cpp
+++ b/libs/gateway/src/table_copy.cpp
@@ -14,6 +14,9 @@
 }
 
 bool table_copy::apply(const store_answer& reply) {
+    if (reply.m_version.m_era < m_version.m_era) {
+        return false;
+    }
     bool changed = false;
     if (reply.m_is_delta) {
         for (const store_row& row : reply.m_rows) {
@@ -40,7 +43,7 @@
     return true;
 }
 
-bool table_copy::apply_removal(const std::string& key, std::uint64_t version) {
+bool table_copy::apply_removal(const std::string& key, const store_version& version) {
     const auto known = m_rows.find(key);
     m_last_removal_version = std::max(m_last_removal_version, version);
     m_removals[key] = {.m_key = key, .m_version = version, .m_removed = true};
@@ -59,7 +62,9 @@
 }
 
 bool table_copy::apply_snapshot(const store_answer& reply) {
-    if (m_version == 0) {
+    if (!m_version.is_set() || reply.m_version.m_era != m_version.m_era) {
+        // What was removed before the first snapshot, or in an earlier era, is not known.
+        m_removals.clear();
         m_removals_known_after = reply.m_version;
         m_last_removal_version = reply.m_version;
     }
@@ -83,8 +88,8 @@
     return changed;
 }
 
-std::optional<std::vector<store_row>> table_copy::changes_since(std::uint64_t version) const {
-    if (version < m_removals_known_after) {
+std::optional<std::vector<store_row>> table_copy::changes_since(const store_version& version) const {
+    if (version.m_era != m_version.m_era || version < m_removals_known_after) {
         return std::nullopt;
     }
     std::vector<store_row> changes;
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -80,8 +80,14 @@
     switch (reply.m_status) {
     case store_status::history_gone:
         log_event(log_level::info, "store.history_gone",
-                  {{"table", m_options.m_table}, {"known_version", std::to_string(m_copy.version())}});
-        send_request(true);
+                  {{"table", m_options.m_table}, {"known_version", to_string(m_copy.version())}});
+        // The first time a snapshot helps; a store that does not know the version of its own snapshot is
+        // asked less and less often.
+        if (std::exchange(m_history_lost, true)) {
+            retry_later();
+        } else {
+            send_request(true);
+        }
         return;
     case store_status::refused:
     case store_status::unknown:
@@ -98,12 +104,15 @@
     if (m_unavailable_since) {
         log_event(log_level::info, "store.regained",
                   {{"table", m_options.m_table},
-                   {"known_version", std::to_string(m_copy.version())},
-                   {"store_version", std::to_string(reply.m_version)}});
+                   {"known_version", to_string(m_copy.version())},
+                   {"store_version", to_string(reply.m_version)}});
         m_unavailable_since.reset();
         m_recovered_at = m_clock.m_now();
     }
-    m_consecutive_failures = 0;
+    if (!snapshot || !m_history_lost) {
+        m_consecutive_failures = 0;
+    }
+    m_history_lost = m_history_lost && snapshot;
     store_answer received = reply;
     received.m_is_delta = !snapshot;
     const bool changed = m_copy.apply(received) || (snapshot && !m_loaded);
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -434,7 +434,7 @@
     const std::string newest = fleet.m_store.value(gateway::members_table, key);
     auto older = gateway::parse_member_record(newest);
     BOOST_REQUIRE(older.has_value());
-    older->m_acknowledged_version = 0;
+    older->m_acknowledged_version = store_version{};
     fleet.m_store.put(gateway::members_table, key, gateway::to_text(*older));
     fleet.run_for(6000ms);
     BOOST_TEST(fleet.m_store.value(gateway::members_table, key) == newest);
@@ -475,7 +475,7 @@
         const auto row = std::find_if(table.m_rows.begin(), table.m_rows.end(), [&](const auto& each) {
             return each.m_key == gateway::member_prefix + name;
         });
-        return row == table.m_rows.end() ? 0 : row->m_version;
+        return row == table.m_rows.end() ? 0 : row->m_version.m_number;
     };
     const auto heartbeat = [&] {
         old.m_leaving = !old.m_leaving;
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -16,24 +16,25 @@
 store_row member_row(const std::string& name, std::uint64_t version, const std::string& incarnation = "1") {
     return {.m_table = gateway::members_table,
             .m_key = gateway::member_prefix + name,
-            .m_value = gateway::to_text(gateway::member_record{.m_name = name,
-                                                               .m_incarnation = name + incarnation,
-                                                               .m_processor_millis = 120,
-                                                               .m_acknowledged_version = 4}),
-            .m_version = version};
+            .m_value = gateway::to_text(
+                gateway::member_record{.m_name = name,
+                                       .m_incarnation = name + incarnation,
+                                       .m_processor_millis = 120,
+                                       .m_acknowledged_version = store_version{.m_number = 4}}),
+            .m_version = {.m_number = version}};
 }
 
 store_row renewals(const renewal_counts& counts, std::uint64_t version) {
     return {.m_table = gateway::members_table,
             .m_key = gateway::renewals_prefix + "relay",
             .m_value = gateway::to_text(counts),
-            .m_version = version};
+            .m_version = {.m_number = version}};
 }
 
 store_answer answer(std::vector<store_row> rows, std::uint64_t version, bool is_delta) {
     return {.m_status = gateway::store_status::done,
             .m_rows = std::move(rows),
-            .m_version = version,
+            .m_version = {.m_number = version},
             .m_is_delta = is_delta};
 }
 
@@ -112,7 +113,7 @@
     BOOST_TEST(directory.stale_renewal_rows(60s, start + 59s).empty());
     const auto stale = directory.stale_renewal_rows(60s, start + 60s);
     BOOST_REQUIRE(stale.size() == 1U);
-    BOOST_TEST(stale[0].m_version == 2U);
+    BOOST_TEST(stale[0].m_version.m_number == 2U);
 }
 
 /// Rows of the version before name epochs and no acknowledged version; newer rows must be readable
@@ -124,7 +125,9 @@
     BOOST_REQUIRE(old.has_value());
     BOOST_TEST(!old->m_acknowledged_version.has_value());
     BOOST_TEST(old->m_acknowledged_epochs.at({"orders"}) == 3U);
-    const std::string ours = gateway::to_text(gateway::member_record{.m_acknowledged_version = 8});
+    const std::string ours = gateway::to_text(
+        gateway::member_record{.m_acknowledged_version = store_version{.m_era = 2, .m_number = 8}});
     BOOST_TEST(ours.find("\"epochs\":{}") != std::string::npos);
-    BOOST_TEST((gateway::parse_member_record(ours)->m_acknowledged_version == 8U));
+    BOOST_TEST((gateway::parse_member_record(ours)->m_acknowledged_version ==
+                store_version{.m_era = 2, .m_number = 8}));
 }
--- a/test/gateway/store_contract.cpp
+++ b/test/gateway/store_contract.cpp
@@ -29,10 +29,10 @@
            R"(","ver":)" + std::to_string(version) + "}";
 }
 
-std::string http_response(int status, const std::string& body) {
+std::string http_response(int status, const std::string& body, const std::string& headers = {}) {
     return "HTTP/1.1 " + std::to_string(status) +
            " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+           "\r\n" + headers + "\r\n" + body;
 }
 
 /// Answers each request by the first rule whose text it contains, and keeps every request.
@@ -105,16 +105,18 @@
             [&](gateway::store_callback done) { m_client->port().m_change(what, std::move(done)); });
     }
 
-    store_answer watch(const std::string& table, std::uint64_t after, milliseconds wait) {
+    store_answer watch(const std::string& table, std::uint64_t number, milliseconds wait) {
+        const store_version after{.m_number = number};
         return wait_for([&](gateway::store_callback done) {
             m_client->port().m_watch(table, after, wait, std::move(done));
         });
     }
 };
 
-const gateway::store_change sample_change{.m_expected = {{.m_table = "t", .m_key = "k", .m_version = 4}},
-                                          .m_writes = {{.m_table = "t", .m_key = "k", .m_value = "new"}},
-                                          .m_removals = {{.m_table = "t", .m_key = "old"}}};
+const gateway::store_change sample_change{
+    .m_expected = {{.m_table = "t", .m_key = "k", .m_version = {.m_number = 4}}},
+    .m_writes = {{.m_table = "t", .m_key = "k", .m_value = "new"}},
+    .m_removals = {{.m_table = "t", .m_key = "old"}}};
 
 }
 
@@ -132,7 +134,45 @@
     BOOST_TEST(received.m_rows[1].m_value == "2");
     // A watch continues from the version of the first page, so that no change between the pages is
     // missed.
-    BOOST_TEST(received.m_version == 7U);
+    BOOST_TEST(received.m_version.m_number == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(versions_carry_the_era_that_the_store_names) {
+    const std::string body = R"({"rows":[)" + row("t", "a", "1", 5) + R"(],"ver":7,"nowMs":1})";
+    struct era_case {
+        std::string m_header;
+        std::uint64_t m_era;
+    };
+    fake_store_server store(37);
+    for (const era_case& each : std::vector<era_case>{{"Store-Era: 3\r\n", 3},
+                                                      {"store-era:4\r\n", 4},
+                                                      {"", 0},
+                                                      {"Store-Era: x\r\n", 0},
+                                                      {"Store-Era: 5x\r\n", 0},
+                                                      {"Store-Era: -1\r\n", 0}}) {
+        BOOST_TEST_CONTEXT(each.m_header) {
+            store.m_rules = {{.m_contains = "", .m_reply = http_response(200, body, each.m_header)}};
+            const store_answer received = store.read("t");
+            BOOST_TEST((received.m_status == store_status::done));
+            BOOST_TEST((received.m_version == store_version{.m_era = each.m_era, .m_number = 7}));
+            BOOST_TEST(
+                (received.m_rows.at(0).m_version == store_version{.m_era = each.m_era, .m_number = 5}));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(pages_from_before_and_after_a_restore_make_no_table) {
+    fake_store_server store(38);
+    store.m_rules = {
+        {.m_contains = "&from=",
+         .m_reply = http_response(
+             200, R"({"rows":[)" + row("t", "b", "2", 6) + R"(],"ver":9,"nowMs":1,"hasMore":false})",
+             "Store-Era: 2\r\n")},
+        {.m_contains = "rows-get?table=t",
+         .m_reply = http_response(
+             200, R"({"rows":[)" + row("t", "a", "1", 5) + R"(],"ver":7,"nowMs":1,"hasMore":true})",
+             "Store-Era: 1\r\n")}};
+    BOOST_TEST((store.read("t").m_status == store_status::unknown));
 }
 
 BOOST_AUTO_TEST_CASE(a_conflicting_change_returns_the_current_rows) {
@@ -145,7 +185,7 @@
     BOOST_REQUIRE(received.m_rows.size() == 1U);
     BOOST_TEST(received.m_rows[0].m_table == "t");
     BOOST_TEST(received.m_rows[0].m_key == "k");
-    BOOST_TEST(received.m_rows[0].m_version == 8U);
+    BOOST_TEST(received.m_rows[0].m_version.m_number == 8U);
 }
 
 BOOST_AUTO_TEST_CASE(a_change_sends_its_conditions_writes_and_removals) {
@@ -153,7 +193,7 @@
     store.m_rules = {{.m_contains = "rows-tx", .m_reply = http_response(200, R"({"ver":13,"nowMs":1})")}};
     const store_answer received = store.change(sample_change);
     BOOST_TEST((received.m_status == store_status::done));
-    BOOST_TEST(received.m_version == 13U);
+    BOOST_TEST(received.m_version.m_number == 13U);
     const std::string& sent = store.m_requests.at(0);
     BOOST_TEST(sent.starts_with("POST /anvilmount/rows-tx"));
     BOOST_TEST(sent.find(R"("ver":4)") != std::string::npos);
@@ -182,7 +222,7 @@
         {.m_contains = "after=2&waitMs=0", .m_reply = http_response(410, "{}")}};
     const auto read_changes = [&](std::uint64_t after) {
         return store.wait_for([&](gateway::store_callback done) {
-            store.m_client->port().m_read_changes("t", after, std::move(done));
+            store.m_client->port().m_read_changes("t", {.m_number = after}, std::move(done));
         });
     };
     const store_answer changes = read_changes(5);
@@ -197,8 +237,9 @@
     store.m_rules = {{.m_contains = "after=5&", .m_reply = "silence"},
                      {.m_contains = "after=6&", .m_reply = http_response(200, R"({"rows":[],"ver":8})")}};
     bool first_answered = false;
-    store.m_client->port().m_watch("t", 5, 20000ms, [&](const store_answer&) { first_answered = true; });
-    BOOST_TEST(store.watch("t", 6, 20000ms).m_version == 8U);
+    store.m_client->port().m_watch("t", {.m_number = 5}, 20000ms,
+                                   [&](const store_answer&) { first_answered = true; });
+    BOOST_TEST(store.watch("t", 6, 20000ms).m_version.m_number == 8U);
     BOOST_TEST(!first_answered);
 }
 
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -42,9 +42,10 @@
     gateway::clock_port m_clock_port{m_clock.port()};
     gateway::store_port m_direct{m_store.port("relay")};
     metrics m_metrics;
-    gateway::store_access m_access{m_clock_port, m_direct, {}, m_metrics};
+    gateway::store_era m_era{m_clock_port, m_direct, m_metrics};
+    gateway::store_access m_access{m_clock_port, m_era, {}, m_metrics};
     gateway::store_relay m_relay{
-        m_clock_port, m_direct, m_access, m_metrics, {.m_table = "m", .m_key = "renewals/relay"}};
+        m_clock_port, m_era, m_access, m_metrics, {.m_table = "m", .m_key = "renewals/relay"}};
     gateway::table_follower m_copy{
         {.m_table = "t", .m_watch_timeout = 2000ms}, m_clock_port, m_access.port(), [](const auto&) {}};
     std::vector<gateway::store_answer> m_replies;
@@ -326,7 +327,7 @@
 
 BOOST_AUTO_TEST_CASE(a_watch_from_before_a_removal_is_told_that_the_history_is_gone) {
     single_relay relay;
-    const std::uint64_t before = relay.m_copy.version();
+    const store_version before = relay.m_copy.version();
     relay.m_store.remove("t", "a");
     relay.run_for(100ms);
     relay.send_request(
@@ -335,10 +336,81 @@
     BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::history_gone));
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_from_before_a_restore_is_told_that_the_history_is_gone) {
+    single_relay relay;
+    const auto earlier = relay.m_store.back_up();
+    relay.m_store.put("t", "a", "2");
+    relay.m_store.put("t", "b", "3");
+    relay.run_for(100ms);
+    const store_version before = relay.m_copy.version();
+    relay.m_store.restore(earlier);
+    relay.run_for(4000ms);
+    relay.m_store.put("t", "c", "4");
+    relay.run_for(100ms);
+    BOOST_TEST(relay.m_copy.version().m_era == 2U);
+    relay.send_request(
+        gateway::follow_question{.m_table = "t", .m_after_version = before, .m_timeout = 1500ms});
+    relay.send_request(gateway::read_question{.m_table = "t", .m_after_version = before});
+    BOOST_REQUIRE(relay.m_replies.size() == 2U);
+    BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::history_gone));
+    BOOST_TEST(!relay.m_replies[1].m_is_delta);
+    BOOST_TEST(relay.m_replies[1].m_rows.size() == 2U);
+}
+
+/// Instances of the version before name no era; a relay answers them as one of their version would.
+BOOST_AUTO_TEST_CASE(a_requester_that_names_no_era_is_answered_in_the_present_one) {
+    single_relay relay;
+    relay.m_store.put("t", "b", "2");
+    relay.run_for(100ms);
+    relay.send_request(
+        gateway::read_question{.m_table = "t", .m_after_version = {.m_era = 0, .m_number = 1}});
+    relay.send_request(gateway::follow_question{
+        .m_table = "t", .m_after_version = {.m_era = 0, .m_number = 1}, .m_timeout = 1500ms});
+    BOOST_REQUIRE(relay.m_replies.size() == 2U);
+    for (const auto& reply : relay.m_replies) {
+        BOOST_TEST((reply.m_status == gateway::store_status::done));
+        BOOST_TEST(reply.m_is_delta);
+        BOOST_REQUIRE(reply.m_rows.size() == 1U);
+        BOOST_TEST(reply.m_rows[0].m_key == "b");
+    }
+}
+
+/// A relay that is cut off from the store keeps copies from before the restore.
+BOOST_AUTO_TEST_CASE(a_reply_from_an_earlier_era_counts_as_none) {
+    test::manual_clock clock;
+    test::fake_store store(clock);
+    const gateway::clock_port clock_port = clock.port();
+    const gateway::store_port direct = store.port("i1");
+    metrics counters;
+    gateway::store_era era(clock_port, direct, counters);
+    std::uint64_t reply_era = 1;
+    gateway::store_access access(
+        clock_port, era,
+        [&](const endpoint&, const std::string&, milliseconds, const auto& done) {
+            done(gateway::encode_reply({.m_status = gateway::store_status::done,
+                                        .m_version = {.m_era = reply_era, .m_number = 900}}));
+        },
+        counters);
+    access.set_order({{.m_relay = endpoint{.m_address = "10.1.0.2", .m_port = 1}}});
+    const auto status = [&] {
+        auto found = gateway::store_status::refused;
+        access.port().m_read_table("t",
+                                   [&](const gateway::store_answer& reply) { found = reply.m_status; });
+        return found;
+    };
+    BOOST_TEST((status() == gateway::store_status::done));
+    era.observe(2);
+    BOOST_TEST((status() == gateway::store_status::unknown));
+    reply_era = 2;
+    clock.run_for(2000ms);
+    BOOST_TEST((status() == gateway::store_status::done));
+}
+
 BOOST_AUTO_TEST_CASE(changes_with_the_same_conditions_are_batched) {
     single_relay relay;
     relay.m_store.put("m", "head", "");
-    const gateway::store_row head{.m_table = "m", .m_key = "head", .m_version = 2};
+    const gateway::store_row head{
+        .m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 2}};
     const int before = relay.m_store.m_calls;
     for (int member = 0; member < 10; ++member) {
         relay.send_request(gateway::store_change{
@@ -357,7 +429,8 @@
 BOOST_AUTO_TEST_CASE(changes_that_arrive_while_one_is_in_flight_are_batched) {
     single_relay relay;
     relay.m_store.put("m", "head", "");
-    const gateway::store_row head{.m_table = "m", .m_key = "head", .m_version = 2};
+    const gateway::store_row head{
+        .m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 2}};
     const int before = relay.m_store.m_changes;
     for (int member = 0; member < 10; ++member) {
         relay.send_request(gateway::store_change{
@@ -392,9 +465,9 @@
 BOOST_AUTO_TEST_CASE(a_refused_renewal_is_not_reported_as_published) {
     single_relay relay;
     relay.m_store.put("m", "head", "");
-    relay.send_request(
-        gateway::store_change{.m_expected = {{.m_table = "m", .m_key = "head", .m_version = 1}},
-                              .m_renewal = gateway::lease_renewal{.m_incarnation = "1", .m_count = 1}});
+    relay.send_request(gateway::store_change{
+        .m_expected = {{.m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 1}}},
+        .m_renewal = gateway::lease_renewal{.m_incarnation = "1", .m_count = 1}});
     relay.run_for(50ms);
     BOOST_REQUIRE(relay.m_replies.size() == 1U);
     BOOST_TEST(!relay.m_replies[0].m_renewed);
@@ -411,7 +484,7 @@
     BOOST_REQUIRE(relay.m_replies.size() == 1U);
     BOOST_TEST(!relay.m_replies[0].m_is_delta);
     BOOST_TEST(relay.m_replies[0].m_rows.size() == 2U);
-    const std::uint64_t seen = relay.m_replies[0].m_version;
+    const store_version seen = relay.m_replies[0].m_version;
     relay.m_store.put("m", "b", "2");
     relay.m_store.remove("m", "a");
     const int before = relay.m_store.m_calls;
@@ -436,7 +509,7 @@
     relay.m_store.put("m", "a", "1");
     relay.send_request(gateway::read_question{.m_table = "m"});
     relay.run_for(3000ms);
-    const std::uint64_t seen = relay.m_replies.at(0).m_version;
+    const store_version seen = relay.m_replies.at(0).m_version;
     relay.m_store.put("m", "b", "1");
     relay.m_store.forget_history();
     relay.send_request(gateway::read_question{.m_table = "m", .m_after_version = seen});
@@ -466,7 +539,7 @@
     relay.m_store.put("m", "head", "");
     for (int member = 0; member < 3; ++member) {
         relay.send_request(gateway::store_change{
-            .m_expected = {{.m_table = "m", .m_key = "head", .m_version = 1}},
+            .m_expected = {{.m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 1}}},
             .m_writes = {{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"}},
             .m_max_batch_delay = 100ms});
     }
@@ -474,7 +547,7 @@
     BOOST_REQUIRE(relay.m_replies.size() == 3U);
     for (const gateway::store_answer& each : relay.m_replies) {
         BOOST_TEST((each.m_status == gateway::store_status::conflict));
-        BOOST_TEST(each.m_rows.at(0).m_version == 2U);
+        BOOST_TEST(each.m_rows.at(0).m_version.m_number == 2U);
     }
     BOOST_TEST(relay.m_store.value("m", "0").empty());
 }
@@ -502,7 +575,7 @@
 
 BOOST_AUTO_TEST_CASE(requests_and_replies_survive_encoding_and_decoding) {
     const gateway::store_change change{
-        .m_expected = {{.m_table = "t", .m_key = "k", .m_version = 7}},
+        .m_expected = {{.m_table = "t", .m_key = "k", .m_version = {.m_era = 3, .m_number = 7}}},
         .m_writes = {{.m_table = "t", .m_key = "k", .m_value = std::string("\0x", 2)}},
         .m_removals = {{.m_table = "t", .m_key = "gone"}},
         .m_renewal = gateway::lease_renewal{.m_incarnation = "17", .m_count = 3},
@@ -510,21 +583,25 @@
     const auto decoded = gateway::decode_question(gateway::encode_question(change));
     BOOST_REQUIRE(decoded.has_value());
     const auto& read = std::get<gateway::store_change>(*decoded);
-    BOOST_TEST(read.m_expected.at(0).m_version == 7U);
+    BOOST_TEST((read.m_expected.at(0).m_version == store_version{.m_era = 3, .m_number = 7}));
     BOOST_TEST(read.m_writes.at(0).m_value == std::string("\0x", 2));
     BOOST_TEST(read.m_removals.at(0).m_key == "gone");
     BOOST_TEST((read.m_max_batch_delay == 20ms));
     BOOST_REQUIRE(read.m_renewal.has_value());
     BOOST_TEST(read.m_renewal->m_incarnation == "17");
     BOOST_TEST(read.m_renewal->m_count == 3U);
-    const auto poll = gateway::decode_question(
-        gateway::encode_question(gateway::read_question{.m_table = "t", .m_after_version = 5}));
-    BOOST_TEST(std::get<gateway::read_question>(*poll).m_after_version == 5U);
+    const auto poll = gateway::decode_question(gateway::encode_question(
+        gateway::read_question{.m_table = "t", .m_after_version = {.m_era = 2, .m_number = 5}}));
+    BOOST_TEST((std::get<gateway::read_question>(*poll).m_after_version ==
+                store_version{.m_era = 2, .m_number = 5}));
     for (const auto status :
          {gateway::store_status::done, gateway::store_status::conflict, gateway::store_status::refused,
           gateway::store_status::unknown, gateway::store_status::history_gone}) {
-        const auto reply = gateway::decode_reply(gateway::encode_reply(
-            {.m_status = status, .m_version = 9, .m_age = 30ms, .m_is_delta = true, .m_renewed = true}));
+        const auto reply = gateway::decode_reply(gateway::encode_reply({.m_status = status,
+                                                                        .m_version = {.m_number = 9},
+                                                                        .m_age = 30ms,
+                                                                        .m_is_delta = true,
+                                                                        .m_renewed = true}));
         BOOST_REQUIRE(reply.has_value());
         BOOST_TEST((reply->m_status == status));
         BOOST_TEST((reply->m_age == 30ms));
--- a/test/gateway/table_copy.cpp
+++ b/test/gateway/table_copy.cpp
@@ -15,15 +15,15 @@
 namespace {
 
 store_row row(const std::string& key, std::uint64_t version, const std::string& value = "x") {
-    return {.m_table = "t", .m_key = key, .m_value = value, .m_version = version};
+    return {.m_table = "t", .m_key = key, .m_value = value, .m_version = {.m_number = version}};
 }
 
 store_row removal(const std::string& key, std::uint64_t version) {
-    return {.m_table = "t", .m_key = key, .m_version = version, .m_removed = true};
+    return {.m_table = "t", .m_key = key, .m_version = {.m_number = version}, .m_removed = true};
 }
 
 store_answer snapshot(std::vector<store_row> rows, std::uint64_t version) {
-    return {.m_status = store_status::done, .m_rows = std::move(rows), .m_version = version};
+    return {.m_status = store_status::done, .m_rows = std::move(rows), .m_version = {.m_number = version}};
 }
 
 store_answer delta(std::vector<store_row> rows, std::uint64_t version) {
@@ -41,7 +41,7 @@
     BOOST_TEST(copy.rows().size() == 3U);
     BOOST_TEST(copy.rows().at("b").m_value == "y");
     BOOST_TEST(!copy.apply(delta({}, 9)));
-    BOOST_TEST(copy.version() == 9U);
+    BOOST_TEST(copy.version().m_number == 9U);
 }
 
 BOOST_AUTO_TEST_CASE(an_older_row_or_removal_changes_nothing) {
@@ -55,7 +55,7 @@
     gateway::table_copy copy;
     copy.apply(snapshot({row("a", 1), row("b", 2)}, 2));
     copy.apply(delta({removal("a", 3)}, 3));
-    const auto changes = copy.changes_since(2);
+    const auto changes = copy.changes_since({.m_number = 2});
     BOOST_REQUIRE(changes.has_value());
     BOOST_REQUIRE(changes->size() == 1U);
     BOOST_TEST(changes->at(0).m_removed);
@@ -65,8 +65,8 @@
 BOOST_AUTO_TEST_CASE(no_delta_is_made_for_versions_from_before_the_copy) {
     gateway::table_copy copy;
     copy.apply(snapshot({row("a", 1)}, 8));
-    BOOST_TEST(!copy.changes_since(7).has_value());
-    BOOST_TEST(copy.changes_since(8).has_value());
+    BOOST_TEST(!copy.changes_since({.m_number = 7}).has_value());
+    BOOST_TEST(copy.changes_since({.m_number = 8}).has_value());
 }
 
 /// Rows come, change and go; two readers take the deltas of the first copy at random times, one of
@@ -101,15 +101,14 @@
             for (const auto& [name, each] : first.rows()) {
                 all.push_back(each);
             }
-            readers[reader].apply(changes ? delta(*changes, first.version())
-                                          : snapshot(all, first.version()));
+            readers[reader].apply(changes ? delta(*changes, version) : snapshot(all, version));
             BOOST_REQUIRE(readers[reader].rows().size() == truth.size());
         }
     }
     for (const auto& each : readers) {
         for (const auto& [name, expected] : truth) {
             BOOST_REQUIRE(each.rows().contains(name));
-            BOOST_TEST(each.rows().at(name).m_version == expected.m_version);
+            BOOST_TEST((each.rows().at(name).m_version == expected.m_version));
         }
     }
 }
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -17,48 +17,48 @@
 }
 
 gateway::store_port fake_store::port(const std::string& name) {
-    return {
-        .m_read_table =
-            [this, name](const std::string& table, gateway::store_callback done) {
-                if (apply_fault(name, done)) {
-                    return;
-                }
-                store_answer reply = read_snapshot(name, table).m_answer;
-                if (m_kept_snapshot && m_kept_snapshot->m_client == name) {
-                    reply = m_kept_snapshot->m_answer;
-                    reply.m_age = std::chrono::duration_cast<milliseconds>(m_clock.now() -
-                                                                           m_kept_snapshot->m_taken_at);
-                }
-                answer(done, std::move(reply));
-            },
-        .m_read_changes =
-            [this, name](const std::string& table, std::uint64_t version, gateway::store_callback done) {
-                read_changes(name, table, version, std::move(done));
-            },
-        .m_change = [this, name](const gateway::store_change& what,
-                                 gateway::store_callback done) { change(name, what, done); },
-        .m_watch =
-            [this, name](const std::string& table, std::uint64_t version, milliseconds wait,
-                         gateway::store_callback done) {
-                watch(name, table, version, wait, std::move(done));
-            }};
+    return {.m_read_table =
+                [this, name](const std::string& table, gateway::store_callback done) {
+                    if (apply_fault(name, done)) {
+                        return;
+                    }
+                    store_answer reply = read_snapshot(name, table).m_answer;
+                    if (m_kept_snapshot && m_kept_snapshot->m_client == name) {
+                        reply = m_kept_snapshot->m_answer;
+                        reply.m_age = std::chrono::duration_cast<milliseconds>(m_clock.now() -
+                                                                               m_kept_snapshot->m_taken_at);
+                    }
+                    answer(done, std::move(reply));
+                },
+            .m_read_changes =
+                [this, name](const std::string& table, const store_version& version,
+                             gateway::store_callback done) {
+                    read_changes(name, table, version, std::move(done));
+                },
+            .m_change = [this, name](const gateway::store_change& what,
+                                     gateway::store_callback done) { change(name, what, done); },
+            .m_watch =
+                [this, name](const std::string& table, const store_version& version, milliseconds wait,
+                             gateway::store_callback done) {
+                    watch(name, table, version, wait, std::move(done));
+                }};
 }
 
 fake_store::kept_snapshot fake_store::read_snapshot(const std::string& client,
                                                     const std::string& table) const {
     kept_snapshot snapshot{.m_client = client,
                            .m_taken_at = m_clock.now(),
-                           .m_answer = {.m_status = store_status::done, .m_version = m_version}};
+                           .m_answer = {.m_status = store_status::done, .m_version = current_version()}};
     for (const auto& [key, row] : m_rows) {
         if (key.first == table) {
-            snapshot.m_answer.m_rows.push_back(row);
+            snapshot.m_answer.m_rows.push_back(in_present_era(row));
         }
     }
     return snapshot;
 }
 
-void fake_store::read_changes(const std::string& name, const std::string& table, std::uint64_t version,
-                              gateway::store_callback done) {
+void fake_store::read_changes(const std::string& name, const std::string& table,
+                              const store_version& version, gateway::store_callback done) {
     if (apply_fault(name, done)) {
         return;
     }
@@ -68,11 +68,11 @@
         answer(done, std::move(reply));
         return;
     }
-    if (version < m_oldest_version || version > m_version) {
+    if (version.m_number < m_oldest_version || version.m_number > m_version) {
         answer(done, {.m_status = store_status::history_gone});
         return;
     }
-    store_answer reply = changes_since(table, version);
+    store_answer reply = changes_since(table, version.m_number);
     reply.m_is_delta = true;
     answer(done, std::move(reply));
 }
@@ -94,8 +94,14 @@
     m_clock.after(answer_time, [done, reply = std::move(reply)] { done(reply); });
 }
 
+gateway::store_row fake_store::in_present_era(gateway::store_row row) const {
+    row.m_version.m_era = m_era;
+    return row;
+}
+
 void fake_store::put(const std::string& table, const std::string& key, const std::string& value) {
-    gateway::store_row row{.m_table = table, .m_key = key, .m_value = value, .m_version = ++m_version};
+    gateway::store_row row{.m_table = table, .m_key = key, .m_value = value};
+    row.m_version.m_number = ++m_version;
     m_rows[{table, key}] = row;
     m_history.emplace(m_version, row);
     answer_waiters();
@@ -104,9 +110,10 @@
 void fake_store::remove(const std::string& table, const std::string& key) {
     if (m_rows.erase({table, key}) > 0) {
         ++m_version;
-        m_history.emplace(
-            m_version,
-            gateway::store_row{.m_table = table, .m_key = key, .m_version = m_version, .m_removed = true});
+        m_history.emplace(m_version, gateway::store_row{.m_table = table,
+                                                        .m_key = key,
+                                                        .m_version = {.m_number = m_version},
+                                                        .m_removed = true});
         answer_waiters();
     }
 }
@@ -121,13 +128,14 @@
     if (apply_fault(name, done)) {
         return;
     }
-    store_answer conflict{.m_status = store_status::conflict, .m_version = m_version};
+    store_answer conflict{.m_status = store_status::conflict, .m_version = current_version()};
     bool matches = true;
     for (const gateway::store_row& row : what.m_expected) {
         const auto found = m_rows.find({row.m_table, row.m_key});
-        matches = matches && (found == m_rows.end() ? 0 : found->second.m_version) == row.m_version;
+        matches = matches &&
+                  (found == m_rows.end() ? 0 : found->second.m_version.m_number) == row.m_version.m_number;
         if (found != m_rows.end()) {
-            conflict.m_rows.push_back(found->second);
+            conflict.m_rows.push_back(in_present_era(found->second));
         }
     }
     if (!matches) {
@@ -137,13 +145,13 @@
     ++m_changes;
     ++m_version;
     for (gateway::store_row row : what.m_writes) {
-        row.m_version = m_version;
+        row.m_version.m_number = m_version;
         m_rows[{row.m_table, row.m_key}] = row;
         m_history.emplace(m_version, row);
     }
     for (gateway::store_row row : what.m_removals) {
         if (m_rows.erase({row.m_table, row.m_key}) > 0) {
-            row.m_version = m_version;
+            row.m_version.m_number = m_version;
             row.m_removed = true;
             m_history.emplace(m_version, row);
         }
@@ -155,7 +163,7 @@
             !what.m_writes.empty() && (what.m_writes.front().m_key.starts_with("member/") ||
                                        what.m_writes.front().m_key.starts_with("renewals/"));
         const bool late = heartbeat && m_slow_heartbeat_clients.contains(name);
-        m_clock.after(late ? late_answer_time : answer_time, [done, version = m_version] {
+        m_clock.after(late ? late_answer_time : answer_time, [done, version = current_version()] {
             done({.m_status = store_status::done, .m_version = version});
         });
     }
@@ -163,26 +171,26 @@
 }
 
 store_answer fake_store::changes_since(const std::string& table, std::uint64_t after) const {
-    store_answer reply{.m_status = store_status::done, .m_version = m_version};
+    store_answer reply{.m_status = store_status::done, .m_version = current_version()};
     for (auto each = m_history.upper_bound(after); each != m_history.end(); ++each) {
         if (each->second.m_table == table) {
-            reply.m_rows.push_back(each->second);
+            reply.m_rows.push_back(in_present_era(each->second));
         }
     }
     return reply;
 }
 
-void fake_store::watch(const std::string& name, const std::string& table, std::uint64_t version,
+void fake_store::watch(const std::string& name, const std::string& table, const store_version& version,
                        milliseconds wait, gateway::store_callback done) {
     if (apply_fault(name, done)) {
         return;
     }
-    if (version < m_oldest_version || version > m_version) {
+    if (version.m_number < m_oldest_version || version.m_number > m_version) {
         answer(done, {.m_status = store_status::history_gone});
         return;
     }
     auto waiting = std::make_shared<waiter>(
-        waiter{.m_name = name, .m_table = table, .m_after = version, .m_done = std::move(done)});
+        waiter{.m_name = name, .m_table = table, .m_after = version.m_number, .m_done = std::move(done)});
     m_waiters.push_back(waiting);
     answer_waiters();
     m_clock.after(wait, [this, waiting] {
@@ -230,6 +238,7 @@
     m_rows = earlier->m_rows;
     m_history = earlier->m_history;
     m_version = earlier->m_version;
+    ++m_era;
     m_oldest_version = earlier->m_oldest_version;
     for (const auto& waiting : std::exchange(m_waiters, {})) {
         waiting->m_answered = true;
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -74,12 +74,14 @@
     /// Returns whether a fault applies to the call; `done` is then called with its outcome.
     [[nodiscard]] bool apply_fault(const std::string& name, const gateway::store_callback& done);
     void answer(const gateway::store_callback& done, gateway::store_answer reply);
-    void read_changes(const std::string& name, const std::string& table, std::uint64_t version,
+    void read_changes(const std::string& name, const std::string& table, const store_version& version,
                       gateway::store_callback done);
     void change(const std::string& name, const gateway::store_change& what,
                 const gateway::store_callback& done);
-    void watch(const std::string& name, const std::string& table, std::uint64_t version, milliseconds wait,
-               gateway::store_callback done);
+    void watch(const std::string& name, const std::string& table, const store_version& version,
+               milliseconds wait, gateway::store_callback done);
+    /// Returns the row as the store answers it; stored versions name no era.
+    [[nodiscard]] gateway::store_row in_present_era(gateway::store_row row) const;
     /// Answers the watches whose table has changed.
     void answer_waiters();
     [[nodiscard]] gateway::store_answer changes_since(const std::string& table, std::uint64_t after) const;
@@ -87,6 +89,9 @@
     manual_clock& m_clock;
     std::map<row_key, gateway::store_row> m_rows;
     std::multimap<std::uint64_t, gateway::store_row> m_history; ///< Key: version.
+    [[nodiscard]] store_version current_version() const { return {.m_era = m_era, .m_number = m_version}; }
+
+    std::uint64_t m_era{1};
     std::uint64_t m_version{0};
     std::uint64_t m_oldest_version{0}; ///< Watches from older versions are answered with history_gone.
     std::list<std::shared_ptr<waiter>> m_waiters;
