Give no fencing token out again after the store forgot it

What could be seen: after a restore the coordinator's row names an earlier holder and its token, and the next one to take over counted on from there. An earlier holder that was still alive also became active again with its old token.

Cause: the same class as the versions, a number learnt from the store outlives the state that it was learnt from. Now the upper half of a token counts the store's eras, a role taken in an earlier era is vacant, and whoever takes it gets a number above all of that era.

--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -3,6 +3,7 @@
 /// of each group's promotion_plan.
 #include "anvilmount/gateway/fleet_coordinator.hpp"
 
+#include "anvilmount/decisions/era_number.hpp"
 #include "anvilmount/decisions/placement.hpp"
 #include "anvilmount/decisions/record_acknowledgement.hpp"
 #include "anvilmount/observe/event_log.hpp"
@@ -407,7 +408,7 @@
     if (m_is_active && !is_own) {
         step_down();
     }
-    if (!m_is_active && is_own && !m_resigned) {
+    if (!m_is_active && is_own && !m_resigned && !is_before_era(record->m_token, m_era)) {
         m_is_active = true;
     }
 }
@@ -462,7 +463,9 @@
 }
 
 bool fleet_coordinator::is_active_coordinator_gone() {
-    if (!m_coordinator_version.is_set()) {
+    // Whoever held the role before the store came back from an older copy takes it anew: the copy may
+    // name an earlier holder, or the present one with a token that was replaced since.
+    if (!m_coordinator_version.is_set() || is_before_era(m_coordinator_record.m_token, m_era)) {
         return true;
     }
     const steady_time now = m_ports.m_clock->m_now();
@@ -493,7 +496,7 @@
     m_coordinator_write_in_flight = true;
     const coordinator_record claim{.m_holder = m_options.m_name,
                                    .m_incarnation = m_options.m_incarnation,
-                                   .m_token = m_coordinator_record.m_token + 1};
+                                   .m_token = next_number(m_coordinator_record.m_token, m_era)};
     const store_change change{
         .m_expected = {{.m_table = members_table,
                         .m_key = coordinator_key,
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -56,6 +56,16 @@
     return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
 }
 
+/// Returns which of `instances` has the active coordinator; 0 when none has.
+int coordinator_of(test::gateway_fleet& fleet, const std::vector<int>& instances) {
+    for (const int number : instances) {
+        if (fleet.instance(number).state_dump()["steward"]) {
+            return number;
+        }
+    }
+    return 0;
+}
+
 }
 
 BOOST_AUTO_TEST_CASE(a_change_made_after_the_store_went_back_reaches_the_copy) {
@@ -126,3 +136,30 @@
     }
     BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
 }
+
+/// The fixture checks that no fencing token has two holders and that none is lower than one before.
+BOOST_AUTO_TEST_CASE(no_fencing_token_is_given_out_again_after_the_store_forgot_its_holder) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    const int first = coordinator_of(fleet, {1, 2, 3});
+    BOOST_REQUIRE(first > 0);
+    fleet.kill(first);
+    const std::vector<int> others = first == 1   ? std::vector{2, 3}
+                                    : first == 2 ? std::vector{1, 3}
+                                                 : std::vector{1, 2};
+    fleet.run_for(7000ms);
+    const int second = coordinator_of(fleet, others);
+    BOOST_REQUIRE(second > 0);
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(2500ms);
+    BOOST_REQUIRE(fleet.m_upstreams.m_promotions == 1);
+    restore(fleet, earlier);
+    fleet.kill(second);
+    fleet.m_upstreams.at("orders-1").m_down = false;
+    fleet.m_upstreams.at("orders-1").m_is_primary = false;
+    fleet.run_for(7000ms);
+    fleet.m_upstreams.crash(fleet.m_upstreams.at("orders-2").m_is_primary ? "orders-2" : "orders-3");
+    fleet.run_for(4000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 2);
+    BOOST_TEST(fleet.m_token_holders.size() == 2U);
+}
