Write group records anew after the store went back before they are trusted

Where the replaced primary is cut off from those who know better it still takes writes: in the test each write of the new instance ran there. An instance that knew the forgotten epoch ignored the new record and still acknowledged it.

Cause: the same class, the newest record of an older copy was taken for the newest record there is. Now - epochs count the store's eras in their upper half, like fencing tokens; - live instances that know a newer record write it back, the first by rank; - the coordinator writes each record of an earlier era anew, once the upstreams agree with it or a lease has passed; - a lease that was obtained after the restore covers only such records; one that never lapsed covers those known before, so that callers do not wait.

gateway/restored_store failed before in two tests (19 writes at the replaced primary; epoch 2 <= 3 and 3 != 2) and passes.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -8,6 +8,10 @@
 /// Safety rests on one rule: a candidate is promoted, and announced to the
 /// instances as primary, only once every instance has stopped using the old
 /// primary or can no longer use it.
+///
+/// A record from before the store came back from an older copy may be outdated. The
+/// coordinator writes each one anew, under an epoch of the present era, once the
+/// upstreams' reports agree with it.
 #pragma once
 
 #include "anvilmount/base/time.hpp"
@@ -50,6 +54,10 @@
     bool m_coordinator_has_connections{true};  ///< Otherwise only the other instances decide.
     bool m_registry_complete{true};            ///< An upstream without registration is gone.
     bool m_primary_refuses_connections{false}; ///< The primary's process does not run.
+    std::uint64_t m_era{0};                    ///< Of the store; see era_number.hpp.
+    steady_time m_era_seen_at{};               ///< When the coordinator first saw this era.
+    /// Instances that knew newer records than the store's older copy have had the time to write them.
+    bool m_lost_records_written{true};
 };
 
 struct plan_options {
@@ -100,6 +108,7 @@
     [[nodiscard]] std::optional<plan_order>
     fence_old_primary(const plan_view& view, const plan_upstream& new_primary, steady_time now) const;
     [[nodiscard]] plan_order plan_first_record(const plan_view& view, steady_time now) const;
+    [[nodiscard]] plan_order plan_in_new_era(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order plan_while_steady(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order plan_while_switching(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order begin_switch(const plan_view& view, bool planned, steady_time now) const;
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -3,6 +3,8 @@
 /// group's record: no record yet, steady, switching.
 #include "anvilmount/decisions/promotion_plan.hpp"
 
+#include "anvilmount/decisions/era_number.hpp"
+
 #include <algorithm>
 
 namespace anvilmount {
@@ -86,14 +88,17 @@
             return *fence;
         }
         return {.m_step = plan_step::write_record,
-                .m_record = {.m_epoch = view.m_record.m_epoch + 1,
+                .m_record = {.m_epoch = next_number(view.m_record.m_epoch, view.m_era),
                              .m_stage = group_stage::steady,
                              .m_primary = new_primary->m_id,
                              .m_term = new_primary->m_term,
                              .m_start = new_primary->m_position}};
     }
-    return view.m_record.m_stage == group_stage::steady ? plan_while_steady(view, now)
-                                                        : plan_while_switching(view, now);
+    if (view.m_record.m_stage == group_stage::switching) {
+        return plan_while_switching(view, now);
+    }
+    return is_before_era(view.m_record.m_epoch, view.m_era) ? plan_in_new_era(view, now)
+                                                            : plan_while_steady(view, now);
 }
 
 std::optional<plan_order> promotion_plan::fence_old_primary(const plan_view& view,
@@ -116,9 +121,9 @@
 
 plan_order promotion_plan::plan_first_record(const plan_view& view, steady_time now) const {
     for (const plan_upstream& each : view.m_upstreams) {
-        if (each.m_registered && is_fresh(each, now) && each.m_is_primary) {
+        if (view.m_lost_records_written && each.m_registered && is_fresh(each, now) && each.m_is_primary) {
             return {.m_step = plan_step::write_record,
-                    .m_record = {.m_epoch = 1,
+                    .m_record = {.m_epoch = next_number(0, view.m_era),
                                  .m_stage = group_stage::steady,
                                  .m_primary = each.m_id,
                                  .m_term = each.m_term,
@@ -128,6 +133,27 @@
     return {.m_step = plan_step::request_status};
 }
 
+plan_order promotion_plan::plan_in_new_era(const plan_view& view, steady_time now) {
+    if (!view.m_lost_records_written) {
+        return {.m_step = plan_step::request_status};
+    }
+    const plan_upstream* primary = find(view, view.m_record.m_primary);
+    const bool is_primary = primary != nullptr && is_fresh(*primary, now) && primary->m_is_primary &&
+                            primary->m_term == view.m_record.m_term;
+    // An upstream that does not answer may have been promoted by a change that the store forgot. After
+    // the lease no instance can be using it.
+    const bool all_answer =
+        std::all_of(view.m_upstreams.begin(), view.m_upstreams.end(),
+                    [&](const plan_upstream& each) { return !each.m_registered || is_fresh(each, now); });
+    if (is_primary && (all_answer || now >= view.m_era_seen_at + m_options.m_lease)) {
+        group_record record = view.m_record;
+        record.m_epoch = next_number(record.m_epoch, view.m_era);
+        return {.m_step = plan_step::write_record, .m_record = record};
+    }
+    const plan_order order = plan_while_steady(view, now);
+    return order.m_step == plan_step::wait ? plan_order{.m_step = plan_step::request_status} : order;
+}
+
 plan_order promotion_plan::plan_while_steady(const plan_view& view, steady_time now) {
     m_promotion_ordered_at.reset();
     m_fenced_at.reset();
@@ -161,7 +187,7 @@
         return {.m_step = plan_step::request_status};
     }
     group_record record = view.m_record;
-    ++record.m_epoch;
+    record.m_epoch = next_number(record.m_epoch, view.m_era);
     record.m_stage = group_stage::switching;
     record.m_candidate = candidate->m_id;
     record.m_planned = planned;
@@ -184,7 +210,7 @@
     if (!view.m_record.m_planned && !m_promotion_ordered_at && old_primary_recovered) {
         // No promotion was ordered yet, so keeping the old primary loses no commit.
         group_record record = view.m_record;
-        ++record.m_epoch;
+        record.m_epoch = next_number(record.m_epoch, view.m_era);
         record.m_stage = group_stage::steady;
         record.m_candidate = {};
         return {.m_step = plan_step::write_record, .m_record = record};
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -140,6 +141,7 @@
 
     void on_records();
     void adopt_group_record(const group_name& name, group_service& group);
+    void note_stored_epoch(const group_service& group, std::uint64_t epoch);
     [[nodiscard]] const fleet_intervals& intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
     [[nodiscard]] bool has_older_version() const;
@@ -168,6 +170,7 @@
     plan_members(const group_name& name, const group_record& record, const group_service& group);
     void request_status(group_service& group, group_coordination& coordination);
     void write_record(const group_name& name, const group_record& record);
+    void write_back_lost_records();
     void promote(const group_name& name, const upstream_id& target);
     void demote(group_service& group, const upstream_id& target, std::uint64_t term);
     void probe(known_member& peer);
@@ -185,6 +188,11 @@
     std::map<group_name, std::uint64_t> m_own_acknowledged_epochs;
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
     std::uint64_t m_era{0}; ///< Of the store.
+    steady_time m_era_seen_at{};
+    /// Groups of which a newer record is known here than the store has, since it came back from an older
+    /// copy.
+    std::set<group_name> m_lost_records;
+    steady_time m_next_write_back{};
     /// Version of the newest change of any record, as far as known.
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -72,6 +72,16 @@
 /// A successor gives each one before it this long to take over: two changes of the store.
 constexpr milliseconds successor_takeover_delay{250};
 
+/// After the store came back from an older copy, the live instances write lost records back in the order
+/// of their ranks; one change takes a few milliseconds.
+constexpr milliseconds write_back_delay{60};
+constexpr int max_write_back_rank = 8;
+constexpr milliseconds write_back_retry_delay{400};
+constexpr std::size_t max_written_records = 40;
+
+/// Until then a coordinator waits for records that others write back.
+constexpr milliseconds write_back_time{700};
+
 constexpr milliseconds min_probe_interval{300};
 constexpr milliseconds min_status_interval{40};
 
@@ -111,6 +121,7 @@
 void fleet_coordinator::on_new_era(std::uint64_t era) {
     const bool is_first = m_era == 0;
     m_era = era;
+    m_era_seen_at = m_ports.m_clock->m_now();
     if (is_first) {
         return;
     }
@@ -178,6 +189,7 @@
 void fleet_coordinator::adopt_group_record(const group_name& name, group_service& group) {
     const auto row = m_records.rows().find(name.m_text);
     if (row == m_records.rows().end()) {
+        note_stored_epoch(group, 0);
         return;
     }
     const auto record = parse_group_record(row->second.m_value);
@@ -186,10 +198,52 @@
         return;
     }
     const std::uint64_t epoch = record->m_epoch;
+    note_stored_epoch(group, epoch);
     m_adopted_row_versions[name] = row->second.m_version;
     group.adopt_record(*record, [this, name, epoch] { m_own_acknowledged_epochs[name] = epoch; });
 }
 
+void fleet_coordinator::note_stored_epoch(const group_service& group, std::uint64_t epoch) {
+    if (group.record().m_epoch > epoch) {
+        m_lost_records.insert(group.options().m_name);
+    } else {
+        m_lost_records.erase(group.options().m_name);
+    }
+}
+
+/// The store came back from an older copy and lost records that were in force. The live instances write
+/// them again, one after the other until the store has them, so that neither the coordinator nor an
+/// instance that starts now takes an older one for the newest.
+void fleet_coordinator::write_back_lost_records() {
+    const steady_time now = m_ports.m_clock->m_now();
+    if (m_lost_records.empty() || m_records.version().m_era != m_era || now < m_next_write_back ||
+        now < m_era_seen_at + write_back_delay * std::min(successor_rank(), max_write_back_rank)) {
+        return;
+    }
+    m_next_write_back = now + write_back_retry_delay;
+    store_change change{.m_writes = {{.m_table = members_table, .m_key = records_head_key}}};
+    for (const group_name& name : m_lost_records) {
+        const auto group = m_groups.find(name);
+        if (group == m_groups.end() || change.m_expected.size() >= max_written_records) {
+            continue;
+        }
+        const auto known = m_records.rows().find(name.m_text);
+        change.m_expected.push_back(
+            {.m_table = records_table,
+             .m_key = name.m_text,
+             .m_version = known == m_records.rows().end() ? store_version{} : known->second.m_version});
+        change.m_writes.push_back(
+            {.m_table = records_table, .m_key = name.m_text, .m_value = to_text(group->second->record())});
+    }
+    log_event(log_level::info, "group.records_written_back",
+              {{"era", std::to_string(m_era)}, {"records", std::to_string(change.m_expected.size())}});
+    m_ports.m_store->m_change(change, [](const store_answer& reply) {
+        if (reply.m_status != store_status::done) {
+            log_event(log_level::info, "group.records_not_written_back");
+        }
+    });
+}
+
 /// An instance of the version before knows neither acknowledged versions nor renewals: to it, one that
 /// does not repeat its record is silent, and its lease lapsed.
 bool fleet_coordinator::has_older_version() const {
@@ -290,7 +344,7 @@
     }
     // The records known here were the newest, and other instances know of this one.
     m_last_heartbeat_at = sent_at;
-    m_lease.renew(sent_at);
+    m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_era);
     if (m_is_active && renewed) {
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
@@ -621,6 +675,7 @@
     if (now >= m_next_poll) {
         poll_members();
     }
+    write_back_lost_records();
     if (m_is_active) {
         for (const auto& [name, group] : m_groups) {
             coordinate_group(name, *group);
@@ -693,6 +748,9 @@
     view.m_coordinator_has_connections = group.options().m_has_connections;
     const auto primary = group.pools().find(view.m_record.m_primary);
     view.m_registry_complete = group.is_registry_complete();
+    view.m_era = m_era;
+    view.m_era_seen_at = m_era_seen_at;
+    view.m_lost_records_written = m_era <= 1 || now >= m_era_seen_at + write_back_time;
     // An instance that started before the record changed is among these members; one that starts
     // later reads the new record.
     view.m_instances_current = m_directory.read_at() >= coordination.m_epoch_observed_at;
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -162,7 +162,7 @@
 }
 
 bool group_service::may_use_primary() const {
-    return m_record.m_epoch > 0 && m_lease.is_valid(m_clock.m_now());
+    return m_record.m_epoch > 0 && m_lease.is_valid(m_clock.m_now()) && m_lease.covers(m_record.m_epoch);
 }
 
 bool group_service::accepts_new_primary_work() const {
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -4,6 +4,8 @@
 /// instance may still use the old primary.
 #include "anvilmount/decisions/promotion_plan.hpp"
 
+#include "anvilmount/decisions/era_number.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace anvilmount;
@@ -284,3 +286,64 @@
     BOOST_TEST(order.m_target.m_text == "a");
     BOOST_TEST(order.m_term == 2U);
 }
+
+namespace {
+
+/// The store came back from an older copy; the record is from before.
+plan_view restored() {
+    plan_view view = healthy();
+    view.m_era = 2;
+    view.m_era_seen_at = start;
+    return view;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_is_written_anew_once_the_upstreams_agree) {
+    const plan_view view = restored();
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_epoch == next_number(5, 2));
+    BOOST_TEST(order.m_record.m_primary.m_text == "a");
+    plan_view confirmed = view;
+    confirmed.m_record = order.m_record;
+    BOOST_TEST((promotion_plan(options).next(confirmed, start).m_step == plan_step::wait));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_is_not_written_while_a_newer_one_may_be_known) {
+    plan_view view = restored();
+    view.m_lost_records_written = false;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+    view.m_record = {};
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+}
+
+/// A silent upstream may have been promoted by a change that the store forgot.
+BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_waits_for_every_upstream_or_the_lease) {
+    plan_view view = restored();
+    view.m_upstreams[1].m_status_at.reset();
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+    view.m_upstreams[0].m_status_at = start + options.m_lease;
+    BOOST_TEST(
+        (promotion_plan(options).next(view, start + options.m_lease).m_step == plan_step::write_record));
+}
+
+BOOST_AUTO_TEST_CASE(a_promotion_that_the_store_forgot_is_found_by_its_term) {
+    plan_view view = restored();
+    view.m_upstreams[2].m_is_primary = true;
+    view.m_upstreams[2].m_term = 2;
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_primary.m_text == "c");
+    BOOST_TEST(order.m_record.m_term == 2U);
+    BOOST_TEST(order.m_record.m_epoch == next_number(5, 2));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_lost_along_with_the_store_is_replaced_in_the_new_era) {
+    plan_view view = restored();
+    lose_primary(view);
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::switching));
+    BOOST_TEST(order.m_record.m_epoch == next_number(5, 2));
+}
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -51,7 +51,9 @@
 
 bool write_succeeds(test::gateway_fleet& fleet, int instance) {
     test::test_caller caller(fleet.instance(instance), "pay");
-    caller.send(kind::write, "WRITE 1 a");
+    if (caller.is_open()) {
+        caller.send(kind::write, "WRITE 1 a");
+    }
     fleet.run_for(200ms);
     return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
 }
@@ -163,3 +165,58 @@
     BOOST_TEST(fleet.m_upstreams.m_promotions == 2);
     BOOST_TEST(fleet.m_token_holders.size() == 2U);
 }
+
+/// The store forgot that orders-2 was promoted, and orders-1 is cut off from the instances that know.
+/// An instance that starts then must not use orders-1, whose writes would be lost.
+BOOST_AUTO_TEST_CASE(an_instance_that_starts_after_the_restore_does_not_use_a_replaced_primary) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    for (const char* instance : {"i1", "i2", "i3"}) {
+        fleet.m_upstreams.cut(instance, "orders-1");
+    }
+    for (int round = 0; round < 20; ++round) {
+        static_cast<void>(write_succeeds(fleet, 1 + round % 3));
+    }
+    BOOST_REQUIRE(fleet.m_upstreams.m_promotions == 1);
+    BOOST_REQUIRE(fleet.m_upstreams.at("orders-1").m_is_primary);
+    restore(fleet, earlier);
+    const log_position before = fleet.m_upstreams.at("orders-1").m_position;
+    fleet.start(4);
+    for (int round = 0; round < 20; ++round) {
+        static_cast<void>(write_succeeds(fleet, 4));
+        BOOST_TEST((fleet.m_upstreams.at("orders-1").m_position == before));
+    }
+    BOOST_TEST(write_succeeds(fleet, 4));
+    BOOST_TEST(write_succeeds(fleet, 1));
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+}
+
+/// An instance that knows the forgotten record stops while the others restart; it returns with its
+/// lease lapsed, and they have written records of their own meanwhile.
+BOOST_AUTO_TEST_CASE(no_epoch_is_given_out_again_after_the_store_forgot_its_record) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(3000ms);
+    const auto record = [&](int number) { return fleet.instance(number).state_dump()["groups"]["orders"]; };
+    const std::uint64_t forgotten = record(3)["epoch"].get<std::uint64_t>();
+    BOOST_REQUIRE(forgotten > 1U);
+    fleet.m_store.m_refused_clients = {"i3"};
+    fleet.m_isolated = {"i3"};
+    restore(fleet, earlier);
+    for (const int number : {1, 2}) {
+        fleet.kill(number);
+        fleet.start(number);
+    }
+    fleet.run_for(14000ms);
+    const std::uint64_t written = record(1)["epoch"].get<std::uint64_t>();
+    BOOST_TEST(written > forgotten);
+    BOOST_TEST(record(1)["primary"] == record(3)["primary"]);
+    fleet.m_store.m_refused_clients.clear();
+    fleet.m_isolated.clear();
+    fleet.run_for(3000ms);
+    BOOST_TEST(record(3)["epoch"].get<std::uint64_t>() == written);
+    for (const int number : {1, 2, 3}) {
+        BOOST_TEST(write_succeeds(fleet, number));
+    }
+}
