Remember the instances that a restored store forgot

What could be seen: an instance that registered in the lost seconds is in no table any more, yet its lease may be in force; the coordinator promoted a replica while that instance's writes at the old primary were still acknowledged (14 writes in two tests). Others took its share of connections, and rows of processes that had left were back and counted as alive.

Now a directory keeps members of an earlier era until they have registered or any lease is over, and believes no row of a process that it saw leave or be replaced. Survivors write missing rows back and mark the era as settled; a coordinator that has just started, and finds no such mark, counts no acknowledgements until the leases of before are over, and begins no planned switch before.

gateway/restored_store failed before in four tests and passes. Open: an instance that registered after the last poll of every survivor, at most two seconds before the outage, is known to nobody.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -49,6 +49,7 @@
     std::vector<plan_upstream> m_upstreams{};
     std::vector<plan_instance> m_instances{}; ///< Recently live instances, including the coordinator.
     bool m_instances_current{true};           ///< m_instances was read after m_record was adopted.
+    bool m_knows_all_leases{true};            ///< m_instances has every instance that may hold a lease.
     steady_time m_record_seen_at{};           ///< When the coordinator first saw this record.
     bool m_coordinator_cannot_reach_primary{false};
     bool m_coordinator_has_connections{true};  ///< Otherwise only the other instances decide.
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -158,7 +158,8 @@
     m_promotion_ordered_at.reset();
     m_fenced_at.reset();
     const plan_upstream* primary = find(view, view.m_record.m_primary);
-    if (primary != nullptr && primary->m_registered && primary->m_leaving) {
+    // A planned switch waits for all leases; it is better not begun than kept waiting without a primary.
+    if (primary != nullptr && primary->m_registered && primary->m_leaving && view.m_knows_all_leases) {
         return begin_switch(view, true, now);
     }
     const bool is_gone = view.m_registry_complete && (primary == nullptr || !primary->m_registered);
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -158,6 +158,9 @@
     void check_own_row();
     void remove_stale_renewals();
     [[nodiscard]] store_version own_acknowledged_version() const;
+    /// Whether every instance that may hold a lease is known. After the store came back from an older
+    /// copy, an instance that registered in the lost seconds may be missing from the table.
+    [[nodiscard]] bool knows_all_leases() const;
     /// Returns how many live instances take the active role before this one.
     [[nodiscard]] int successor_rank() const;
     [[nodiscard]] bool is_active_coordinator_gone();
@@ -170,7 +173,10 @@
     plan_members(const group_name& name, const group_record& record, const group_service& group);
     void request_status(group_service& group, group_coordination& coordination);
     void write_record(const group_name& name, const group_record& record);
+    /// Returns when this instance writes back what the store lost, after others had their turn.
+    [[nodiscard]] steady_time write_back_time_of_rank() const;
     void write_back_lost_records();
+    void settle_era();
     void promote(const group_name& name, const upstream_id& target);
     void demote(group_service& group, const upstream_id& target, std::uint64_t term);
     void probe(known_member& peer);
@@ -189,10 +195,12 @@
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
     std::uint64_t m_era{0}; ///< Of the store.
     steady_time m_era_seen_at{};
+    steady_time m_leases_known_at{}; ///< See knows_all_leases().
     /// Groups of which a newer record is known here than the store has, since it came back from an older
     /// copy.
     std::set<group_name> m_lost_records;
     steady_time m_next_write_back{};
+    steady_time m_next_settling{};
     /// Version of the newest change of any record, as far as known.
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -27,6 +27,9 @@
 /// the records known here are the newest.
 inline const std::string records_head_key = "records";
 
+/// Newest era of the store in which the table lists every instance that may hold a lease from before.
+inline const std::string settled_era_key = "settled_era";
+
 /// Prefix of the rows in which relays publish renewals; each process that relays has one row.
 inline const std::string renewals_prefix = "renewals/";
 
@@ -75,6 +78,7 @@
 [[nodiscard]] std::optional<member_record> parse_member_record(const std::string& text);
 [[nodiscard]] std::optional<coordinator_record> parse_coordinator_record(const std::string& text);
 [[nodiscard]] std::optional<group_record> parse_group_record(const std::string& text);
+[[nodiscard]] std::optional<std::uint64_t> parse_settled_era(const std::string& text);
 [[nodiscard]] std::optional<renewal_counts> parse_renewal_counts(const std::string& text);
 
 }
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -3,6 +3,10 @@
 /// gave a sign of life, the row of the active coordinator, and the version of the newest record
 /// change. The directory takes in whole tables and deltas, over any path, and ignores answers that
 /// are older than what it knows.
+///
+/// When the store comes back from an older copy, rows are missing and rows of processes that have
+/// ended are back. Members known from before are kept until they had the time to register again, and
+/// a process that was seen to leave or to be replaced is never taken for alive again.
 #pragma once
 
 #include "anvilmount/decisions/lease_renewals.hpp"
@@ -10,8 +14,10 @@
 #include "anvilmount/gateway/ports.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,7 +26,7 @@
 /// An instance's record, and when this instance last saw a heartbeat of it.
 struct known_member {
     member_record m_record{};
-    store_version m_version{};
+    store_version m_version{}; ///< Unset while the store does not list it.
     /// Later than the heartbeat itself by up to a poll interval, never earlier.
     steady_time m_heartbeat_seen_at{};
     /// The process refused a probe since its last heartbeat.
@@ -54,6 +60,14 @@
     /// Version of the newest change of any group's record, as far as the members table tells.
     [[nodiscard]] const store_version& records_head() const { return m_records_head; }
 
+    /// Newest era of which the table lists every instance that may hold a lease from before; 0: none.
+    [[nodiscard]] std::uint64_t settled_era() const { return m_settled_era; }
+    [[nodiscard]] const store_version& settled_era_version() const { return m_settled_era_version; }
+
+    /// Returns the members known from an earlier era that are not listed in the present one. m_version
+    /// is that of the row of an earlier process that stands in their place, if any.
+    [[nodiscard]] std::vector<known_member> unregistered_members() const;
+
     /// Returns the rows of published renewals that have not changed for `duration`: the processes
     /// that wrote them no longer relay.
     [[nodiscard]] std::vector<store_row> stale_renewal_rows(milliseconds duration, steady_time now) const;
@@ -64,8 +78,11 @@
         steady_time m_changed_at{};
     };
 
+    void begin_era(steady_time now);
     void remove_unlisted(const store_answer& reply);
+    void remove_unregistered(steady_time now);
     void remove(const std::string& key);
+    void record_departure(const std::string& incarnation);
     void apply_row(const store_row& row, steady_time now);
     void apply_member(const store_row& row, steady_time now);
     void apply_renewals(const store_row& row, steady_time now);
@@ -76,7 +93,13 @@
     observed_renewals m_renewals;
     std::optional<store_row> m_coordinator_row;
     store_version m_records_head;
+    std::uint64_t m_settled_era{0};
+    store_version m_settled_era_version; ///< Of its row.
     store_version m_version;
+    /// Members known from an earlier era that have not registered in the present one. Key: row key.
+    std::set<std::string> m_carried_over;
+    steady_time m_carried_over_until{};
+    std::deque<std::string> m_departed; ///< Incarnations of the latest processes that left.
     steady_time m_read_at{};
     bool m_loaded{false};
     bool m_was_registered{false};
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -75,7 +75,7 @@
 /// After the store came back from an older copy, the live instances write lost records back in the order
 /// of their ranks; one change takes a few milliseconds.
 constexpr milliseconds write_back_delay{60};
-constexpr int max_write_back_rank = 8;
+constexpr int max_write_back_rank = 100;
 constexpr milliseconds write_back_retry_delay{400};
 constexpr std::size_t max_written_records = 40;
 
@@ -122,6 +122,8 @@
     const bool is_first = m_era == 0;
     m_era = era;
     m_era_seen_at = m_ports.m_clock->m_now();
+    const bool knew_members = !is_first && knows_members() && m_lease.is_valid(m_era_seen_at);
+    m_leases_known_at = knew_members ? m_era_seen_at : m_era_seen_at + m_lease.duration() + lease_margin;
     if (is_first) {
         return;
     }
@@ -203,6 +205,11 @@
     group.adopt_record(*record, [this, name, epoch] { m_own_acknowledged_epochs[name] = epoch; });
 }
 
+bool fleet_coordinator::knows_all_leases() const {
+    return m_era <= 1 || m_directory.settled_era() >= m_era ||
+           m_ports.m_clock->m_now() >= m_leases_known_at;
+}
+
 void fleet_coordinator::note_stored_epoch(const group_service& group, std::uint64_t epoch) {
     if (group.record().m_epoch > epoch) {
         m_lost_records.insert(group.options().m_name);
@@ -211,13 +218,55 @@
     }
 }
 
+steady_time fleet_coordinator::write_back_time_of_rank() const {
+    return m_era_seen_at + write_back_delay * std::min(successor_rank(), max_write_back_rank);
+}
+
+/// The table may lack instances that registered in the lost seconds and may still use a primary. One
+/// that knows them all writes their rows back, so that a coordinator that has just started waits for
+/// them, and for no longer than that.
+void fleet_coordinator::settle_era() {
+    const steady_time now = m_ports.m_clock->m_now();
+    if (m_era <= 1 || m_directory.version().m_era != m_era || m_directory.settled_era() >= m_era ||
+        !knows_all_leases() || now < m_next_settling || now < write_back_time_of_rank()) {
+        return;
+    }
+    m_next_settling = now + write_back_retry_delay;
+    m_next_poll = std::min(m_next_poll, now + write_back_retry_delay / 2);
+    const std::vector<known_member> missing = m_directory.unregistered_members();
+    store_change change;
+    for (const known_member& each : missing) {
+        if (change.m_writes.size() >= max_written_records) {
+            break;
+        }
+        const std::string key = member_prefix + each.m_record.m_name;
+        change.m_expected.push_back({.m_table = members_table, .m_key = key, .m_version = each.m_version});
+        change.m_writes.push_back(
+            {.m_table = members_table, .m_key = key, .m_value = to_text(each.m_record)});
+    }
+    if (missing.size() == change.m_writes.size()) {
+        change.m_expected.push_back({.m_table = members_table,
+                                     .m_key = settled_era_key,
+                                     .m_version = m_directory.settled_era_version()});
+        change.m_writes.push_back(
+            {.m_table = members_table, .m_key = settled_era_key, .m_value = std::to_string(m_era)});
+    }
+    log_event(log_level::info, "member.era_settled",
+              {{"era", std::to_string(m_era)}, {"written_back", std::to_string(missing.size())}});
+    m_ports.m_store->m_change(change, [](const store_answer& reply) {
+        if (reply.m_status != store_status::done) {
+            log_event(log_level::info, "member.era_not_settled");
+        }
+    });
+}
+
 /// The store came back from an older copy and lost records that were in force. The live instances write
 /// them again, one after the other until the store has them, so that neither the coordinator nor an
 /// instance that starts now takes an older one for the newest.
 void fleet_coordinator::write_back_lost_records() {
     const steady_time now = m_ports.m_clock->m_now();
     if (m_lost_records.empty() || m_records.version().m_era != m_era || now < m_next_write_back ||
-        now < m_era_seen_at + write_back_delay * std::min(successor_rank(), max_write_back_rank)) {
+        now < write_back_time_of_rank()) {
         return;
     }
     m_next_write_back = now + write_back_retry_delay;
@@ -676,6 +725,7 @@
         poll_members();
     }
     write_back_lost_records();
+    settle_era();
     if (m_is_active) {
         for (const auto& [name, group] : m_groups) {
             coordinate_group(name, *group);
@@ -753,7 +803,9 @@
     view.m_lost_records_written = m_era <= 1 || now >= m_era_seen_at + write_back_time;
     // An instance that started before the record changed is among these members; one that starts
     // later reads the new record.
-    view.m_instances_current = m_directory.read_at() >= coordination.m_epoch_observed_at;
+    view.m_instances_current =
+        m_directory.read_at() >= coordination.m_epoch_observed_at && knows_all_leases();
+    view.m_knows_all_leases = knows_all_leases();
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
     view.m_instances = plan_members(name, view.m_record, group);
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -119,6 +119,10 @@
     });
 }
 
+std::optional<std::uint64_t> parse_settled_era(const std::string& text) {
+    return parse_record(text, [](const json& value) { return value.get<std::uint64_t>(); });
+}
+
 std::optional<renewal_counts> parse_renewal_counts(const std::string& text) {
     return parse_record(text, [](const json& value) { return value.get<renewal_counts>(); });
 }
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -6,8 +6,23 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace anvilmount::gateway {
+namespace {
+
+/// Longer than any lease: a member from before a restore that has not registered again by then cannot
+/// use a primary any more.
+constexpr milliseconds carry_over_time{12000};
+
+/// A member that gave a sign of life within this time before the last read may have renewed its lease
+/// since, in a change that the store forgot.
+constexpr milliseconds max_lease{12000};
+
+/// More than the processes that end within the seconds by which a store goes back.
+constexpr std::size_t max_departed = 1024;
+
+}
 
 bool member_directory::apply(const store_answer& reply, steady_time as_of, steady_time now) {
     // A relay may answer with a read from before the last answer here, which lacks instances that
@@ -16,10 +31,10 @@
         return false;
     }
     const bool is_first = !is_loaded();
-    m_read_at = as_of;
     if (reply.m_version.m_era != m_version.m_era) {
-        m_records_head = {};
+        begin_era(now);
     }
+    m_read_at = as_of;
     if (!reply.m_is_delta) {
         remove_unlisted(reply);
     }
@@ -30,6 +45,7 @@
             apply_row(row, now);
         }
     }
+    remove_unregistered(now);
     m_version = reply.m_version;
     m_loaded = true;
     if (is_first) {
@@ -38,6 +54,46 @@
     return true;
 }
 
+std::vector<known_member> member_directory::unregistered_members() const {
+    std::vector<known_member> members;
+    for (const std::string& key : m_carried_over) {
+        members.push_back(m_members.at(key));
+    }
+    return members;
+}
+
+void member_directory::begin_era(steady_time now) {
+    m_records_head = {};
+    m_settled_era = 0;
+    m_settled_era_version = {};
+    m_carried_over_until = now + carry_over_time;
+    for (auto& [key, member] : m_members) {
+        m_carried_over.insert(key);
+        member.m_version = {};
+        if (m_read_at < member.m_heartbeat_seen_at + max_lease) {
+            member.m_heartbeat_seen_at = now;
+        }
+    }
+}
+
+void member_directory::remove_unregistered(steady_time now) {
+    if (now < m_carried_over_until) {
+        return;
+    }
+    for (const std::string& key : std::exchange(m_carried_over, {})) {
+        if (key != m_own_key) {
+            m_members.erase(key);
+        }
+    }
+}
+
+void member_directory::record_departure(const std::string& incarnation) {
+    m_departed.push_back(incarnation);
+    if (m_departed.size() > max_departed) {
+        m_departed.pop_front();
+    }
+}
+
 void member_directory::remove_unlisted(const store_answer& reply) {
     std::set<std::string> listed;
     for (const store_row& row : reply.m_rows) {
@@ -46,7 +102,7 @@
     std::vector<std::string> unlisted;
     const auto collect = [&](const auto& rows) {
         for (const auto& [key, row] : rows) {
-            if (!listed.contains(key)) {
+            if (!listed.contains(key) && !m_carried_over.contains(key)) {
                 unlisted.push_back(key);
             }
         }
@@ -62,7 +118,11 @@
 }
 
 void member_directory::remove(const std::string& key) {
-    m_members.erase(key);
+    if (const auto member = m_members.find(key); member != m_members.end()) {
+        record_departure(member->second.m_record.m_incarnation);
+        m_members.erase(member);
+        m_carried_over.erase(key);
+    }
     if (m_renewal_rows.erase(key) > 0) {
         m_renewals.forget(key);
     }
@@ -78,6 +138,9 @@
         }
     } else if (row.m_key == records_head_key) {
         m_records_head = std::max(m_records_head, row.m_version);
+    } else if (row.m_key == settled_era_key) {
+        m_settled_era = parse_settled_era(row.m_value).value_or(0);
+        m_settled_era_version = row.m_version;
     } else if (row.m_key.starts_with(member_prefix)) {
         apply_member(row, now);
     } else if (row.m_key.starts_with(renewals_prefix)) {
@@ -95,9 +158,26 @@
         log_event(log_level::error, "member.record_unreadable", {{"member", row.m_key}});
         return;
     }
+    const bool is_known = known != m_members.end();
+    if (std::find(m_departed.begin(), m_departed.end(), record->m_incarnation) != m_departed.end()) {
+        if (is_known) {
+            known->second.m_version = row.m_version;
+        }
+        return;
+    }
+    if (is_known && known->second.m_record.m_incarnation != record->m_incarnation) {
+        record_departure(known->second.m_record.m_incarnation);
+    }
+    m_carried_over.erase(row.m_key);
     known_member& member = m_members[row.m_key];
+    const bool is_repeated =
+        is_known && member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
     member.m_record = std::move(*record);
     member.m_version = row.m_version;
+    if (is_repeated) {
+        // Only read once more, in a new era.
+        return;
+    }
     member.m_heartbeat_seen_at = now;
     member.m_process_ended = false;
 }
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -131,3 +131,54 @@
     BOOST_TEST((gateway::parse_member_record(ours)->m_acknowledged_version ==
                 store_version{.m_era = 2, .m_number = 8}));
 }
+
+namespace {
+
+store_answer in_era(std::uint64_t era, store_answer made) {
+    made.m_version.m_era = era;
+    for (store_row& row : made.m_rows) {
+        row.m_version.m_era = era;
+    }
+    return made;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(members_that_a_restored_table_lacks_are_kept_until_their_leases_are_over) {
+    gateway::member_directory directory("a");
+    directory.apply(
+        in_era(1, answer({member_row("a", 1), member_row("b", 2), member_row("c", 3)}, 30, false)), start,
+        start);
+    directory.apply(in_era(2, answer({member_row("a", 1)}, 1, false)), start + 1s, start + 1s);
+    BOOST_TEST(directory.members().size() == 3U);
+    BOOST_TEST(directory.unregistered_members().size() == 2U);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 1s));
+    directory.apply(in_era(2, answer({member_row("b", 4)}, 4, true)), start + 2s, start + 2s);
+    BOOST_TEST(directory.unregistered_members().size() == 1U);
+    directory.apply(in_era(2, answer({}, 5, true)), start + 14s, start + 14s);
+    BOOST_TEST(directory.members().size() == 2U);
+    BOOST_TEST(directory.unregistered_members().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_row_of_a_process_that_was_replaced_is_not_believed_after_a_restore) {
+    gateway::member_directory directory("a");
+    directory.apply(in_era(1, answer({member_row("a", 1), member_row("b", 2)}, 2, false)), start, start);
+    directory.apply(in_era(1, answer({member_row("b", 3, "2")}, 3, true)), start + 1s, start + 1s);
+    directory.apply(in_era(2, answer({member_row("a", 1), member_row("b", 2)}, 2, false)), start + 2s,
+                    start + 2s);
+    BOOST_TEST(member(directory, "b").m_record.m_incarnation == "b2");
+    const auto missing = directory.unregistered_members();
+    BOOST_REQUIRE(missing.size() == 1U);
+    BOOST_TEST((missing[0].m_version == store_version{.m_era = 2, .m_number = 2}));
+    directory.apply(in_era(2, answer({member_row("b", 5, "2")}, 5, true)), start + 3s, start + 3s);
+    BOOST_TEST(directory.unregistered_members().empty());
+}
+
+BOOST_AUTO_TEST_CASE(reading_an_unchanged_row_in_a_new_era_is_no_sign_of_life_of_the_long_silent) {
+    gateway::member_directory directory("a");
+    directory.apply(in_era(1, answer({member_row("a", 1), member_row("b", 2)}, 2, false)), start, start);
+    directory.apply(in_era(1, answer({}, 3, true)), start + 60s, start + 60s);
+    directory.apply(in_era(2, answer({member_row("a", 1), member_row("b", 2)}, 2, false)), start + 61s,
+                    start + 61s);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start));
+}
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -220,3 +220,91 @@
         BOOST_TEST(write_succeeds(fleet, number));
     }
 }
+
+namespace {
+
+/// An instance registers in the seconds that the store loses, and is then cut off from the store and
+/// the others; it alone reaches orders-1. Restarting all others means that nobody knows of it. As long
+/// as its writes may succeed, no replica may be promoted.
+void check_lease_of_forgotten_instance(bool restarts_others) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    fleet.start(4);
+    fleet.run_for(2500ms);
+    BOOST_REQUIRE(write_succeeds(fleet, 4));
+    fleet.m_store.m_refused_clients = {"i4"};
+    fleet.m_isolated = {"i4"};
+    restore(fleet, earlier);
+    for (const int number : {1, 2, 3}) {
+        if (restarts_others) {
+            fleet.kill(number);
+            fleet.start(number);
+        }
+        fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
+    }
+    for (int round = 0; round < 90; ++round) {
+        const bool is_replaced =
+            fleet.m_upstreams.at("orders-2").m_is_primary || fleet.m_upstreams.at("orders-3").m_is_primary;
+        const bool is_acknowledged = write_succeeds(fleet, 4);
+        BOOST_TEST(!(is_replaced && is_acknowledged));
+        static_cast<void>(write_succeeds(fleet, 1 + round % 3));
+    }
+    BOOST_TEST(fleet.m_upstreams.m_promotions == 1);
+    BOOST_TEST(write_succeeds(fleet, 1));
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(the_lease_of_an_instance_that_the_store_forgot_holds_back_a_promotion) {
+    check_lease_of_forgotten_instance(false);
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_that_no_running_instance_knows_of_holds_back_a_promotion) {
+    check_lease_of_forgotten_instance(true);
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_left_is_not_counted_again_after_the_restore) {
+    test::gateway_fleet fleet(6);
+    fleet.run_for(5000ms);
+    const auto earlier = fleet.m_store.back_up();
+    bool left = false;
+    fleet.instance(6).leave(2000ms, [&] { left = true; });
+    fleet.run_for(3500ms);
+    BOOST_REQUIRE(left);
+    fleet.kill(6);
+    fleet.run_for(3000ms);
+    const auto instances = [&](int number) {
+        return fleet.instance(number).state_dump()["instances"].get<int>();
+    };
+    BOOST_REQUIRE(instances(1) == 5);
+    restore(fleet, earlier);
+    for (int tick = 0; tick < 100; ++tick) {
+        fleet.run_for(100ms);
+        for (int number = 1; number <= 5; ++number) {
+            BOOST_REQUIRE(instances(number) == 5);
+        }
+    }
+}
+
+/// Instances whose rows the older copy lacks hold their connections; nobody else may take their share.
+BOOST_AUTO_TEST_CASE(instances_that_the_store_forgot_keep_their_shares_of_connections) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    for (const int number : {4, 5, 6}) {
+        fleet.start(number);
+    }
+    fleet.run_for(8000ms);
+    const auto limit = [&](int number) {
+        return fleet.instance(number)
+            .state_dump()["groups"]["orders"]["pools"]["orders-1"]["limit"]
+            .get<int>();
+    };
+    const int before = limit(1);
+    restore(fleet, earlier);
+    for (int tick = 0; tick < 100; ++tick) {
+        fleet.run_for(100ms);
+        for (int number = 1; number <= 6; ++number) {
+            BOOST_REQUIRE(limit(number) == before);
+        }
+    }
+}
