Send no work to a draining upstream that a restored store lists as ready

An older copy of the registry lists an upstream as ready that drains or has left since. The gateway believed it and sent work there, beyond the time after which a leaving upstream must get none (DRAIN), until it registered again.

An upstream that drains never serves again before its next start, so its departure is now remembered by id and start time.

gateway/restored_store, an_upstream_that_drains_gets_no_work_after_the_store_ forgot_it, failed before and passes.

--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -148,6 +149,7 @@
     void on_new_era(std::uint64_t era);
     void admit_deferred_callers();
     void apply_registry();
+    [[nodiscard]] upstream_entry with_known_departure(const upstream_entry& reported) const;
     void apply_groups();
     void tick_leaving();
     void check_forwarding_paths() const;
@@ -174,6 +176,8 @@
     upstream_registry m_reported_upstreams; ///< As last reported.
     /// In use: also upstreams whose registration is missing but may return.
     upstream_registry m_upstreams;
+    /// Upstreams that left, the latest last. An older copy of the registry may list them as ready again.
+    std::deque<upstream_entry> m_left_upstreams;
     bool m_registry_known{false};
     /// From then on a missing registration means that the upstream is gone.
     steady_time m_registry_complete_at{};
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -16,6 +16,9 @@
 /// Live upstreams register again about two seconds after the store is back.
 constexpr milliseconds reregistration_time{2500};
 
+/// More than the upstreams that leave within the seconds by which a store goes back.
+constexpr std::size_t max_left_upstreams = 256;
+
 /// An instance that did not accept a forwarded session gets none for two heartbeats.
 constexpr milliseconds forwarding_backoff{6000};
 
@@ -207,15 +210,36 @@
     m_registry_complete_at = m_ports.m_clock.m_now() + reregistration_time;
 }
 
+/// An upstream that drains ends; only a new start serves again. A registration that says otherwise is
+/// from an older copy of the store.
+upstream_entry gateway::with_known_departure(const upstream_entry& reported) const {
+    const auto is_same_start = [&](const upstream_entry& known) {
+        return known.m_id == reported.m_id && known.m_started_at_ms == reported.m_started_at_ms;
+    };
+    upstream_entry entry = reported;
+    const auto known = m_upstreams.find(reported.m_id);
+    entry.m_leaving =
+        reported.m_leaving ||
+        (known != m_upstreams.end() && is_same_start(known->second) && known->second.m_leaving) ||
+        std::any_of(m_left_upstreams.begin(), m_left_upstreams.end(), is_same_start);
+    return entry;
+}
+
 void gateway::apply_registry() {
     const bool is_registry_complete = m_ports.m_clock.m_now() >= m_registry_complete_at;
     m_registry_apply_pending = !is_registry_complete;
     for (auto each = m_upstreams.begin(); each != m_upstreams.end();) {
         const bool absent = !m_reported_upstreams.contains(each->first);
+        if (absent && is_registry_complete && each->second.m_leaving) {
+            m_left_upstreams.push_back(each->second);
+        }
         each = absent && is_registry_complete ? m_upstreams.erase(each) : std::next(each);
     }
+    while (m_left_upstreams.size() > max_left_upstreams) {
+        m_left_upstreams.pop_front();
+    }
     for (const auto& [id, entry] : m_reported_upstreams) {
-        m_upstreams[id] = entry;
+        m_upstreams[id] = with_known_departure(entry);
     }
     for (const auto& [name, group] : m_groups) {
         // The number of slots decides which instances hold connections. Recomputing the holders
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -308,3 +308,31 @@
         }
     }
 }
+
+/// The older copy lists an upstream as ready that drains, or that has left meanwhile.
+BOOST_AUTO_TEST_CASE(an_upstream_that_drains_gets_no_work_after_the_store_forgot_it) {
+    test::gateway_fleet fleet(2);
+    const auto is_leaving = [&] {
+        return fleet.instance(1)
+            .state_dump()["groups"]["orders"]["pools"]["orders-3"]["leaving"]
+            .get<bool>();
+    };
+    const gateway::upstream_registry before = fleet.m_upstreams.registry();
+    fleet.m_upstreams.at("orders-3").m_entry.m_leaving = true;
+    fleet.publish_registry();
+    fleet.run_for(1000ms);
+    BOOST_TEST(is_leaving());
+    fleet.instance(1).adopt_registry(before);
+    BOOST_TEST(is_leaving());
+    gateway::upstream_registry without = fleet.m_upstreams.registry();
+    without.erase({"orders-3"});
+    fleet.instance(1).adopt_registry(without);
+    fleet.run_for(5000ms);
+    fleet.instance(1).adopt_registry(before);
+    fleet.run_for(500ms);
+    BOOST_TEST(is_leaving());
+    gateway::upstream_registry restarted = before;
+    restarted.at({"orders-3"}).m_started_at_ms += 1000;
+    fleet.instance(1).adopt_registry(restarted);
+    BOOST_TEST(!is_leaving());
+}
