--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -336,3 +336,27 @@
     fleet.instance(1).adopt_registry(restarted);
     BOOST_TEST(!is_leaving());
 }
+
+/// Until a coordinator is elected, nobody but the instances that were running knows the newest record.
+BOOST_AUTO_TEST_CASE(the_newest_record_is_stored_again_although_the_coordinator_has_ended) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(3000ms);
+    const auto stored = [&] {
+        return gateway::parse_group_record(fleet.m_store.value("anvilmount_groups", "orders")).value();
+    };
+    const group_record newest = stored();
+    BOOST_REQUIRE(newest.m_primary.m_text != "orders-1");
+    const int coordinator = coordinator_of(fleet, {1, 2, 3});
+    BOOST_REQUIRE(coordinator > 0);
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(2000ms);
+    fleet.kill(coordinator);
+    fleet.m_store.m_unreachable = false;
+    fleet.m_store.restore(earlier);
+    BOOST_TEST(stored().m_primary.m_text == "orders-1");
+    fleet.run_for(2000ms);
+    BOOST_TEST(stored().m_primary.m_text == newest.m_primary.m_text);
+    BOOST_TEST(stored().m_term == newest.m_term);
+}
