Let the soak's store come back from an older copy

The store's stand-in keeps a copy of itself each quarter of a second, names its era in each response and refuses watches from versions that it does not have.

--- a/standins/line_platform/row_store.cpp
+++ b/standins/line_platform/row_store.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds watch_poll_interval{20};
 constexpr std::size_t max_history = 4000;
 
+constexpr milliseconds backup_interval{250};
+constexpr std::size_t max_backups = 48;
+
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_forbidden = 403;
@@ -55,9 +58,35 @@
 result<void> row_store::listen(const endpoint& address) {
     BOOST_LEAF_ASSIGN(m_listener, tcp_listener::listen(m_loop, address, [this](int fd) { accept(fd); }));
     answer_watches_periodically();
+    back_up_periodically();
     return {};
 }
 
+void row_store::back_up_periodically() {
+    m_backups.push_back({.m_taken_at = reactor::now(),
+                         .m_rows = m_rows,
+                         .m_history = m_history,
+                         .m_version = m_version,
+                         .m_oldest_version = m_oldest_version});
+    if (m_backups.size() > max_backups) {
+        m_backups.pop_front();
+    }
+    m_loop.after(backup_interval, [this] { back_up_periodically(); });
+}
+
+void row_store::restore(milliseconds age) {
+    while (m_backups.size() > 1 && m_backups.back().m_taken_at + age > reactor::now()) {
+        m_backups.pop_back();
+    }
+    const backup& earlier = m_backups.back();
+    m_rows = earlier.m_rows;
+    m_history = earlier.m_history;
+    m_version = earlier.m_version;
+    m_oldest_version = earlier.m_oldest_version;
+    ++m_era;
+    answer_watches();
+}
+
 void row_store::accept(int fd) {
     const auto accepted = std::make_shared<connection>();
     accepted->reset_parser();
@@ -143,8 +172,8 @@
 
 void row_store::send(const connection_ptr& conn, const reply& response) {
     const std::string body = response.m_body.dump();
-    conn->m_stream->write("HTTP/1.1 " + std::to_string(response.m_status) +
-                          " Standin\r\nContent-Type: application/json\r\nContent-Length: " +
+    conn->m_stream->write("HTTP/1.1 " + std::to_string(response.m_status) + " Standin\r\nStore-Era: " +
+                          std::to_string(m_era) + "\r\nContent-Type: application/json\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
@@ -256,10 +285,10 @@
 }
 
 /// Returns the changes to the table after a version, 410 if the history does not reach
-/// back to that version, or nothing if there are no changes.
+/// back to that version or the store does not have it, or nothing if there are no changes.
 std::optional<row_store::reply> row_store::changes_since(const std::string& table,
                                                          std::uint64_t after_version) const {
-    if (after_version < m_oldest_version && m_oldest_version > 1) {
+    if ((after_version < m_oldest_version && m_oldest_version > 1) || after_version > m_version) {
         return reply{.m_status = status_gone, .m_body = json::object()};
     }
     std::map<row_key, const change*> newest;
--- a/standins/line_platform/row_store.hpp
+++ b/standins/line_platform/row_store.hpp
@@ -1,7 +1,8 @@
 /// \file row_store.hpp
 /// Stand-in for the platform's metadata store and its promotion call, for tests:
 /// versioned rows, conditional changes and watches on tables over HTTP/1.1, with
-/// faults that can be set.
+/// faults that can be set. It can come back from a copy of itself that is some
+/// seconds old, and names its era in each response.
 #pragma once
 
 #include "anvilmount/base/endpoint.hpp"
@@ -59,6 +60,10 @@
     /// Discards the change history: watches from an earlier version are answered 410.
     void forget_history();
 
+    /// Goes back to the newest copy that is at least `age` old, or to the oldest one kept. What was
+    /// written since is lost, and the next era begins.
+    void restore(anvilmount::milliseconds age);
+
 private:
     struct connection;
     using connection_ptr = std::shared_ptr<connection>;
@@ -88,6 +93,16 @@
         anvilmount::steady_time m_deadline{};
     };
 
+    /// The store as it was at one moment.
+    struct backup {
+        anvilmount::steady_time m_taken_at{};
+        std::map<row_key, row> m_rows{};
+        std::deque<change> m_history{};
+        std::uint64_t m_version{1};
+        std::uint64_t m_oldest_version{1};
+    };
+
+    void back_up_periodically();
     void accept(int fd);
     void handle_request(const connection_ptr& conn, const std::string& method, const std::string& target,
                         const std::map<std::string, std::string>& headers, const std::string& body);
@@ -113,6 +128,8 @@
     std::uint64_t m_version{1};
     std::uint64_t m_oldest_version{1}; ///< A watch can continue from this version or later.
     std::list<pending_watch> m_watches;
+    std::uint64_t m_era{1};
+    std::deque<backup> m_backups; ///< The latest last.
 };
 
 }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -122,6 +122,8 @@
             return m_fleet.store().set_faults({.m_answer_loss_rate = 0.3});
         case soak_fault::store_forgets:
             return m_fleet.store().forget_history();
+        case soak_fault::store_restored:
+            return m_fleet.store().set_faults({.m_silent = true});
         case soak_fault::store_path_cut:
             return m_fleet.set_store_path_faults(target, {.m_cut = true});
         case soak_fault::store_path_mute:
@@ -172,6 +174,11 @@
         case soak_fault::store_forgets:
             m_fleet.store().set_faults({});
             break;
+        case soak_fault::store_restored:
+            m_fleet.store().set_faults({});
+            // Twice the time that it was away, at least a second.
+            m_fleet.restore_store(milliseconds{1000} + what.m_active_time * 2);
+            break;
         case soak_fault::store_path_cut:
         case soak_fault::store_path_mute:
             m_fleet.set_store_path_faults(target, {});
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds readiness_timeout{1000};
 constexpr milliseconds registration_expiry{3600};
 
+/// After the store came back from an older copy, operators and upstreams write again within this time.
+constexpr milliseconds rewrite_time{400};
+
 /// Requests sent before a pause or a path delay may still arrive for this long after it ends.
 constexpr milliseconds in_flight_time{1000};
 
@@ -343,6 +346,16 @@
     m_store.put("op", "config", all.dump());
 }
 
+void soak_fleet::restore_store(milliseconds age) {
+    m_store.restore(age);
+    m_loop.after(rewrite_time, [this] {
+        write_configuration();
+        for (const std::string& upstream : m_upstream_ids) {
+            publish_registration(upstream);
+        }
+    });
+}
+
 void soak_fleet::change_configuration() {
     m_revision += 1 + m_random() % 3;
     write_configuration();
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -55,6 +55,10 @@
     [[nodiscard]] standin::row_store& store() { return m_store; }
     void change_configuration();
 
+    /// The store comes back from a copy of that age; the configuration and the registrations are written
+    /// again a moment later.
+    void restore_store(anvilmount::milliseconds age);
+
     /// Records that an unplanned fault starts or ends now; sessions cut off soon after are attributed
     /// to it.
     void record_fault() { m_last_fault_at = anvilmount::reactor::now(); }
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -2,6 +2,7 @@
 /// Fault kinds with their weights and maximum durations, and the weighted draw.
 #include "soak/soak_schedule.hpp"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <random>
@@ -47,9 +48,32 @@
     fault_kind{soak_fault::configuration, "configuration", target_kind::fleet, 2, milliseconds{100}},
 };
 
+/// Drawn apart from the others, so that schedules of earlier seeds keep their other faults.
+constexpr fault_kind restore_kind{soak_fault::store_restored, "store_restored", target_kind::store, 0,
+                                  milliseconds{2500}};
+constexpr std::uint32_t restore_seed_salt = 0x5e0e;
+constexpr milliseconds max_restore_interval{12000};
+
 constexpr milliseconds min_active_time{100};
 constexpr milliseconds max_interval{2200};
 
+/// Restores fall into the first half and later: at least one in a schedule of twelve seconds.
+std::vector<soak_event> draw_restores(std::uint32_t seed, const soak_size& size) {
+    std::mt19937 random(seed ^ restore_seed_salt);
+    const auto up_to = [&](milliseconds limit) {
+        return milliseconds{std::uniform_int_distribution<std::int64_t>(0, limit.count())(random)};
+    };
+    std::vector<soak_event> events;
+    for (milliseconds at = size.m_duration / 4 + up_to(size.m_duration / 4); at < size.m_duration;
+         at += min_active_time + up_to(max_restore_interval)) {
+        events.push_back({.m_at = at,
+                          .m_active_time = min_active_time + up_to(restore_kind.m_max_active_time),
+                          .m_fault = restore_kind.m_fault});
+        at += events.back().m_active_time;
+    }
+    return events;
+}
+
 }
 
 std::string name_of(soak_fault fault) {
@@ -58,7 +82,7 @@
             return each.m_name;
         }
     }
-    return "unknown";
+    return fault == restore_kind.m_fault ? restore_kind.m_name : "unknown";
 }
 
 std::vector<soak_event> draw_schedule(std::uint32_t seed, const soak_size& size) {
@@ -93,6 +117,11 @@
         events.push_back(
             {.m_at = at, .m_active_time = active_time, .m_fault = kind->m_fault, .m_target = target});
     }
+    const std::vector<soak_event> restores = draw_restores(seed, size);
+    events.insert(events.end(), restores.begin(), restores.end());
+    std::stable_sort(events.begin(), events.end(), [](const soak_event& left, const soak_event& right) {
+        return left.m_at < right.m_at;
+    });
     return events;
 }
 
--- a/test/soak/soak_schedule.hpp
+++ b/test/soak/soak_schedule.hpp
@@ -34,6 +34,7 @@
     answers_lost,     ///< 5% of the answers of an upstream are lost together with their connections.
     replica_lags,     ///< A replica applies its log two seconds late.
     configuration,    ///< The configuration changes three times.
+    store_restored,   ///< The store is away and comes back from a copy that is some seconds old.
 };
 
 /// One fault of a schedule.
