Take answers of relays of the version before while the store has never gone back

An instance that the store turns away and whose relays are all of the version before would get no answer that it believes, since these name no era, and lose its lease after 10 s. Before the first restore there is only one era that they can be of. After one, such an answer may be from before it and counts as none.

--- a/libs/gateway/include/anvilmount/gateway/store_era.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_era.hpp
@@ -33,6 +33,10 @@
     /// Calls `handler` each time a later era is seen, the first one included.
     void set_handler(era_handler handler) { m_on_new_era = std::move(handler); }
 
+    /// Completes an answer that was relayed by an instance of the version before, which names no era.
+    /// Before the first restore there is only one that it can be of; later it stays without.
+    void complete(store_answer& relayed) const;
+
     /// Takes in the era of an answer. Returns false for one from an earlier era: it describes a state
     /// of the store that no longer exists.
     bool observe(std::uint64_t era);
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -126,6 +126,9 @@
     m_send_peer_request(relay, encode_question(relayed), timeout_for(relayed),
                         [this, done](const std::optional<std::string>& bytes) {
                             auto reply = bytes ? decode_reply(*bytes) : std::nullopt;
+                            if (reply) {
+                                m_era.complete(*reply);
+                            }
                             const bool is_reply = reply && is_answer(reply->m_status);
                             if (is_reply && !m_era.observe(reply->m_version.m_era)) {
                                 // The relay has not noticed yet that the store came back from an older
--- a/libs/gateway/src/store_era.cpp
+++ b/libs/gateway/src/store_era.cpp
@@ -8,6 +8,13 @@
 
 namespace anvilmount::gateway {
 
+namespace {
+
+/// Of a store that has never come back from an older copy.
+constexpr std::uint64_t first_era = 1;
+
+}
+
 bool has_conditions_of(const store_change& change, std::uint64_t era) {
     return std::all_of(change.m_expected.begin(), change.m_expected.end(), [&](const store_row& row) {
         return !row.m_version.is_set() || row.m_version.m_era == era;
@@ -37,6 +44,16 @@
                      });
                  }} {}
 
+void store_era::complete(store_answer& relayed) const {
+    if (m_current != first_era || relayed.m_version.m_era != 0) {
+        return;
+    }
+    relayed.m_version.m_era = first_era;
+    for (store_row& row : relayed.m_rows) {
+        row.m_version.m_era = first_era;
+    }
+}
+
 bool store_era::observe(std::uint64_t era) {
     if (era <= m_current) {
         return era == m_current;
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -375,6 +375,26 @@
     }
 }
 
+/// Instances are replaced one by one; until the store goes back, those of both versions work together.
+BOOST_AUTO_TEST_CASE(an_instance_that_the_store_refuses_serves_through_relays_that_name_no_era) {
+    test::gateway_fleet fleet(4);
+    fleet.m_names_no_era = true;
+    const int refused_instance = non_coordinator(fleet);
+    fleet.m_store.m_refused_clients = {name_of(refused_instance)};
+    for (int second = 0; second < 25; ++second) {
+        fleet.run_for(700ms);
+        BOOST_TEST(write_succeeds(fleet, refused_instance));
+    }
+    // After a restore, what names no era may be from before it: better no lease than a wrong one.
+    fleet.m_store.m_refused_clients.clear();
+    fleet.run_for(2000ms);
+    fleet.m_store.restore(fleet.m_store.back_up());
+    fleet.run_for(4000ms);
+    fleet.m_store.m_refused_clients = {name_of(refused_instance)};
+    fleet.run_for(13000ms);
+    BOOST_TEST(!write_succeeds(fleet, refused_instance));
+}
+
 /// A relay that is cut off from the store keeps copies from before the restore.
 BOOST_AUTO_TEST_CASE(a_reply_from_an_earlier_era_counts_as_none) {
     test::manual_clock clock;
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -28,6 +28,16 @@
     return made;
 }
 
+/// Returns the reply as the version before encodes it.
+std::string without_era(const std::string& reply) {
+    gateway::store_answer answer = gateway::decode_reply(reply).value();
+    answer.m_version.m_era = 0;
+    for (gateway::store_row& row : answer.m_rows) {
+        row.m_version.m_era = 0;
+    }
+    return gateway::encode_reply(answer);
+}
+
 }
 
 test_caller::test_caller(gateway::gateway& instance, const std::string& database) : m_instance(instance) {
@@ -221,7 +231,10 @@
         }
     }
     transfer(from, sent.size(), [this, to, peer = found->second.get(), sent, complete] {
-        peer->serve_store_request(sent, [this, to, complete](const std::optional<std::string>& reply) {
+        peer->serve_store_request(sent, [this, to, complete](std::optional<std::string> reply) {
+            if (reply && m_names_no_era) {
+                reply = without_era(*reply);
+            }
             transfer(to, reply ? reply->size() : 0, [complete, reply] { complete(reply); });
         });
     });
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -85,6 +85,7 @@
     std::size_t m_link_rate{0};
     std::size_t m_peer_bytes{0};     ///< Sent between instances so far.
     bool m_knows_no_renewals{false}; ///< Relays are of the version before and ignore renewals.
+    bool m_names_no_era{false};      ///< Relays are of the version before and name no era.
 
 private:
     [[nodiscard]] gateway::gateway_ports ports(const std::string& name);
