--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -9,6 +9,7 @@
 #include "anvilmount/decisions/group_holders.hpp"
 #include "anvilmount/decisions/promotion_plan.hpp"
 #include "anvilmount/decisions/store_path.hpp"
+#include "anvilmount/gateway/era_recovery.hpp"
 #include "anvilmount/gateway/fleet_membership.hpp"
 #include "anvilmount/gateway/group_service.hpp"
 #include "anvilmount/gateway/member_directory.hpp"
@@ -19,7 +20,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -66,8 +66,6 @@
     followed_row m_configuration{};
 };
 
-using group_map = std::map<group_name, std::unique_ptr<group_service>>;
-
 /// Created and ticked by the gateway, whose groups and lease it updates.
 class fleet_coordinator {
 public:
@@ -141,7 +139,6 @@
 
     void on_records();
     void adopt_group_record(const group_name& name, group_service& group);
-    void note_stored_epoch(const group_service& group, std::uint64_t epoch);
     [[nodiscard]] const fleet_intervals& intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
     [[nodiscard]] bool has_older_version() const;
@@ -158,9 +155,6 @@
     void check_own_row();
     void remove_stale_renewals();
     [[nodiscard]] store_version own_acknowledged_version() const;
-    /// Whether every instance that may hold a lease is known. After the store came back from an older
-    /// copy, an instance that registered in the lost seconds may be missing from the table.
-    [[nodiscard]] bool knows_all_leases() const;
     /// Returns how many live instances take the active role before this one.
     [[nodiscard]] int successor_rank() const;
     [[nodiscard]] bool is_active_coordinator_gone();
@@ -173,10 +167,6 @@
     plan_members(const group_name& name, const group_record& record, const group_service& group);
     void request_status(group_service& group, group_coordination& coordination);
     void write_record(const group_name& name, const group_record& record);
-    /// Returns when this instance writes back what the store lost, after others had their turn.
-    [[nodiscard]] steady_time write_back_time_of_rank() const;
-    void write_back_lost_records();
-    void settle_era();
     void promote(const group_name& name, const upstream_id& target);
     void demote(group_service& group, const upstream_id& target, std::uint64_t term);
     void probe(known_member& peer);
@@ -188,19 +178,12 @@
     metrics& m_metrics;
     member_directory m_directory;
     table_follower m_records;
+    era_recovery m_recovery;
     /// Per group, the version of the records table's row that was last adopted here.
     std::map<group_name, store_version> m_adopted_row_versions;
     /// Per group, the epoch of the newest record that this instance has acknowledged.
     std::map<group_name, std::uint64_t> m_own_acknowledged_epochs;
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
-    std::uint64_t m_era{0}; ///< Of the store.
-    steady_time m_era_seen_at{};
-    steady_time m_leases_known_at{}; ///< See knows_all_leases().
-    /// Groups of which a newer record is known here than the store has, since it came back from an older
-    /// copy.
-    std::set<group_name> m_lost_records;
-    steady_time m_next_write_back{};
-    steady_time m_next_settling{};
     /// Version of the newest change of any record, as far as known.
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -15,8 +15,6 @@
 namespace anvilmount::gateway {
 namespace {
 
-const std::string records_table = "anvilmount_groups";
-
 /// From this size on, saving store calls matters more than the seconds that frequent calls save.
 constexpr std::size_t large_fleet_size = 24;
 
@@ -63,6 +61,9 @@
 
 constexpr milliseconds first_poll_retry_delay{250};
 
+/// After rows were written back that the store had lost.
+constexpr milliseconds recovery_poll_delay{200};
+
 /// Delays of the first polls, when many instances may have started together.
 constexpr std::array startup_poll_delays{milliseconds{300}, milliseconds{1200}, milliseconds{4000}};
 
@@ -72,16 +73,6 @@
 /// A successor gives each one before it this long to take over: two changes of the store.
 constexpr milliseconds successor_takeover_delay{250};
 
-/// After the store came back from an older copy, the live instances write lost records back in the order
-/// of their ranks; one change takes a few milliseconds.
-constexpr milliseconds write_back_delay{60};
-constexpr int max_write_back_rank = 100;
-constexpr milliseconds write_back_retry_delay{400};
-constexpr std::size_t max_written_records = 40;
-
-/// Until then a coordinator waits for records that others write back.
-constexpr milliseconds write_back_time{700};
-
 constexpr milliseconds min_probe_interval{300};
 constexpr milliseconds min_status_interval{40};
 
@@ -111,7 +102,13 @@
     : m_options(std::move(options)), m_ports(std::move(ports)), m_lease(lease), m_groups(groups),
       m_metrics(counters), m_directory(m_options.m_name),
       m_records({.m_table = records_table}, *m_ports.m_clock, *m_ports.m_store,
-                [this](const auto&) { on_records(); }) {}
+                [this](const auto&) { on_records(); }),
+      m_recovery({.m_clock = m_ports.m_clock,
+                  .m_store = m_ports.m_store,
+                  .m_directory = &m_directory,
+                  .m_records = &m_records,
+                  .m_groups = &m_groups},
+                 m_lease.duration() + lease_margin) {}
 
 void fleet_coordinator::start() {
     m_records.start();
@@ -119,11 +116,8 @@
 }
 
 void fleet_coordinator::on_new_era(std::uint64_t era) {
-    const bool is_first = m_era == 0;
-    m_era = era;
-    m_era_seen_at = m_ports.m_clock->m_now();
-    const bool knew_members = !is_first && knows_members() && m_lease.is_valid(m_era_seen_at);
-    m_leases_known_at = knew_members ? m_era_seen_at : m_era_seen_at + m_lease.duration() + lease_margin;
+    const bool is_first = m_recovery.era() == 0;
+    m_recovery.begin(era, !is_first && knows_members() && m_lease.is_valid(m_ports.m_clock->m_now()));
     if (is_first) {
         return;
     }
@@ -191,7 +185,7 @@
 void fleet_coordinator::adopt_group_record(const group_name& name, group_service& group) {
     const auto row = m_records.rows().find(name.m_text);
     if (row == m_records.rows().end()) {
-        note_stored_epoch(group, 0);
+        m_recovery.note_stored_epoch(group, 0);
         return;
     }
     const auto record = parse_group_record(row->second.m_value);
@@ -200,99 +194,11 @@
         return;
     }
     const std::uint64_t epoch = record->m_epoch;
-    note_stored_epoch(group, epoch);
+    m_recovery.note_stored_epoch(group, epoch);
     m_adopted_row_versions[name] = row->second.m_version;
     group.adopt_record(*record, [this, name, epoch] { m_own_acknowledged_epochs[name] = epoch; });
 }
 
-bool fleet_coordinator::knows_all_leases() const {
-    return m_era <= 1 || m_directory.settled_era() >= m_era ||
-           m_ports.m_clock->m_now() >= m_leases_known_at;
-}
-
-void fleet_coordinator::note_stored_epoch(const group_service& group, std::uint64_t epoch) {
-    if (group.record().m_epoch > epoch) {
-        m_lost_records.insert(group.options().m_name);
-    } else {
-        m_lost_records.erase(group.options().m_name);
-    }
-}
-
-steady_time fleet_coordinator::write_back_time_of_rank() const {
-    return m_era_seen_at + write_back_delay * std::min(successor_rank(), max_write_back_rank);
-}
-
-/// The table may lack instances that registered in the lost seconds and may still use a primary. One
-/// that knows them all writes their rows back, so that a coordinator that has just started waits for
-/// them, and for no longer than that.
-void fleet_coordinator::settle_era() {
-    const steady_time now = m_ports.m_clock->m_now();
-    if (m_era <= 1 || m_directory.version().m_era != m_era || m_directory.settled_era() >= m_era ||
-        !knows_all_leases() || now < m_next_settling || now < write_back_time_of_rank()) {
-        return;
-    }
-    m_next_settling = now + write_back_retry_delay;
-    m_next_poll = std::min(m_next_poll, now + write_back_retry_delay / 2);
-    const std::vector<known_member> missing = m_directory.unregistered_members();
-    store_change change;
-    for (const known_member& each : missing) {
-        if (change.m_writes.size() >= max_written_records) {
-            break;
-        }
-        const std::string key = member_prefix + each.m_record.m_name;
-        change.m_expected.push_back({.m_table = members_table, .m_key = key, .m_version = each.m_version});
-        change.m_writes.push_back(
-            {.m_table = members_table, .m_key = key, .m_value = to_text(each.m_record)});
-    }
-    if (missing.size() == change.m_writes.size()) {
-        change.m_expected.push_back({.m_table = members_table,
-                                     .m_key = settled_era_key,
-                                     .m_version = m_directory.settled_era_version()});
-        change.m_writes.push_back(
-            {.m_table = members_table, .m_key = settled_era_key, .m_value = std::to_string(m_era)});
-    }
-    log_event(log_level::info, "member.era_settled",
-              {{"era", std::to_string(m_era)}, {"written_back", std::to_string(missing.size())}});
-    m_ports.m_store->m_change(change, [](const store_answer& reply) {
-        if (reply.m_status != store_status::done) {
-            log_event(log_level::info, "member.era_not_settled");
-        }
-    });
-}
-
-/// The store came back from an older copy and lost records that were in force. The live instances write
-/// them again, one after the other until the store has them, so that neither the coordinator nor an
-/// instance that starts now takes an older one for the newest.
-void fleet_coordinator::write_back_lost_records() {
-    const steady_time now = m_ports.m_clock->m_now();
-    if (m_lost_records.empty() || m_records.version().m_era != m_era || now < m_next_write_back ||
-        now < write_back_time_of_rank()) {
-        return;
-    }
-    m_next_write_back = now + write_back_retry_delay;
-    store_change change{.m_writes = {{.m_table = members_table, .m_key = records_head_key}}};
-    for (const group_name& name : m_lost_records) {
-        const auto group = m_groups.find(name);
-        if (group == m_groups.end() || change.m_expected.size() >= max_written_records) {
-            continue;
-        }
-        const auto known = m_records.rows().find(name.m_text);
-        change.m_expected.push_back(
-            {.m_table = records_table,
-             .m_key = name.m_text,
-             .m_version = known == m_records.rows().end() ? store_version{} : known->second.m_version});
-        change.m_writes.push_back(
-            {.m_table = records_table, .m_key = name.m_text, .m_value = to_text(group->second->record())});
-    }
-    log_event(log_level::info, "group.records_written_back",
-              {{"era", std::to_string(m_era)}, {"records", std::to_string(change.m_expected.size())}});
-    m_ports.m_store->m_change(change, [](const store_answer& reply) {
-        if (reply.m_status != store_status::done) {
-            log_event(log_level::info, "group.records_not_written_back");
-        }
-    });
-}
-
 /// An instance of the version before knows neither acknowledged versions nor renewals: to it, one that
 /// does not repeat its record is silent, and its lease lapsed.
 bool fleet_coordinator::has_older_version() const {
@@ -324,8 +230,7 @@
 }
 
 void fleet_coordinator::heartbeat(milliseconds batch_delay) {
-    const bool knows_newest = knows_members() && m_directory.version().m_era == m_era &&
-                              m_records.is_loaded() && m_records.version().m_era == m_era &&
+    const bool knows_newest = knows_members() && m_records.is_loaded() && m_recovery.has_read_tables() &&
                               m_records.version() >= m_records_head;
     if (m_heartbeat_in_flight || m_deregistered || !knows_newest ||
         (m_is_active && m_coordinator_write_in_flight)) {
@@ -393,7 +298,7 @@
     }
     // The records known here were the newest, and other instances know of this one.
     m_last_heartbeat_at = sent_at;
-    m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_era);
+    m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_recovery.era());
     if (m_is_active && renewed) {
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
@@ -511,7 +416,7 @@
     if (m_is_active && !is_own) {
         step_down();
     }
-    if (!m_is_active && is_own && !m_resigned && !is_before_era(record->m_token, m_era)) {
+    if (!m_is_active && is_own && !m_resigned && !is_before_era(record->m_token, m_recovery.era())) {
         m_is_active = true;
     }
 }
@@ -568,7 +473,7 @@
 bool fleet_coordinator::is_active_coordinator_gone() {
     // Whoever held the role before the store came back from an older copy takes it anew: the copy may
     // name an earlier holder, or the present one with a token that was replaced since.
-    if (!m_coordinator_version.is_set() || is_before_era(m_coordinator_record.m_token, m_era)) {
+    if (!m_coordinator_version.is_set() || is_before_era(m_coordinator_record.m_token, m_recovery.era())) {
         return true;
     }
     const steady_time now = m_ports.m_clock->m_now();
@@ -599,7 +504,7 @@
     m_coordinator_write_in_flight = true;
     const coordinator_record claim{.m_holder = m_options.m_name,
                                    .m_incarnation = m_options.m_incarnation,
-                                   .m_token = next_number(m_coordinator_record.m_token, m_era)};
+                                   .m_token = next_number(m_coordinator_record.m_token, m_recovery.era())};
     const store_change change{
         .m_expected = {{.m_table = members_table,
                         .m_key = coordinator_key,
@@ -724,8 +629,9 @@
     if (now >= m_next_poll) {
         poll_members();
     }
-    write_back_lost_records();
-    settle_era();
+    if (m_recovery.is_pending() && m_recovery.tick(successor_rank())) {
+        m_next_poll = std::min(m_next_poll, now + recovery_poll_delay);
+    }
     if (m_is_active) {
         for (const auto& [name, group] : m_groups) {
             coordinate_group(name, *group);
@@ -798,14 +704,14 @@
     view.m_coordinator_has_connections = group.options().m_has_connections;
     const auto primary = group.pools().find(view.m_record.m_primary);
     view.m_registry_complete = group.is_registry_complete();
-    view.m_era = m_era;
-    view.m_era_seen_at = m_era_seen_at;
-    view.m_lost_records_written = m_era <= 1 || now >= m_era_seen_at + write_back_time;
+    view.m_era = m_recovery.era();
+    view.m_era_seen_at = m_recovery.era_seen_at();
+    view.m_lost_records_written = m_recovery.are_records_recovered();
     // An instance that started before the record changed is among these members; one that starts
     // later reads the new record.
     view.m_instances_current =
-        m_directory.read_at() >= coordination.m_epoch_observed_at && knows_all_leases();
-    view.m_knows_all_leases = knows_all_leases();
+        m_directory.read_at() >= coordination.m_epoch_observed_at && m_recovery.knows_all_leases();
+    view.m_knows_all_leases = m_recovery.knows_all_leases();
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
     view.m_instances = plan_members(name, view.m_record, group);
