--- a/libs/gateway/include/anvilmount/gateway/store_era.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_era.hpp
@@ -53,7 +53,4 @@
     era_handler m_on_new_era;
 };
 
-/// Returns whether each condition names a version of `era`, or the absence of the row.
-[[nodiscard]] bool has_conditions_of(const store_change& change, std::uint64_t era);
-
 }
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -11,12 +11,7 @@
 namespace anvilmount::gateway {
 namespace {
 
-/// Longer than any lease: a member from before a restore that has not registered again by then cannot
-/// use a primary any more.
-constexpr milliseconds carry_over_time{12000};
-
-/// A member that gave a sign of life within this time before the last read may have renewed its lease
-/// since, in a change that the store forgot.
+/// Longer than any lease, its margin included.
 constexpr milliseconds max_lease{12000};
 
 /// More than the processes that end within the seconds by which a store goes back.
@@ -66,10 +61,11 @@
     m_records_head = {};
     m_settled_era = 0;
     m_settled_era_version = {};
-    m_carried_over_until = now + carry_over_time;
+    m_carried_over_until = now + max_lease;
     for (auto& [key, member] : m_members) {
         m_carried_over.insert(key);
         member.m_version = {};
+        // It may have renewed its lease after the last read, in a change that the store forgot.
         if (m_read_at < member.m_heartbeat_seen_at + max_lease) {
             member.m_heartbeat_seen_at = now;
         }
@@ -80,6 +76,7 @@
     if (now < m_carried_over_until) {
         return;
     }
+    // Whoever has not registered again by now cannot use a primary any more.
     for (const std::string& key : std::exchange(m_carried_over, {})) {
         if (key != m_own_key) {
             m_members.erase(key);
--- a/libs/gateway/src/store_era.cpp
+++ b/libs/gateway/src/store_era.cpp
@@ -13,14 +13,15 @@
 /// Of a store that has never come back from an older copy.
 constexpr std::uint64_t first_era = 1;
 
-}
-
+/// Returns whether each condition names a version of `era`, or the absence of the row.
 bool has_conditions_of(const store_change& change, std::uint64_t era) {
     return std::all_of(change.m_expected.begin(), change.m_expected.end(), [&](const store_row& row) {
         return !row.m_version.is_set() || row.m_version.m_era == era;
     });
 }
 
+}
+
 store_era::store_era(const clock_port& clock, const store_port& direct, metrics& counters)
     : m_clock(clock), m_direct(direct), m_metrics(counters),
       m_port{.m_read_table =
