Look up what is known of a row in one place, and build no record at each tick

Reading the change again. has_urgent_report() built this instance's whole record each 15 ms, which walks all members; it now compares the three fields that it needs, the acknowledged version only during a switch. The lookup of a row's version as a condition stood five times and is table_follower::known_row; setting the era of an answer is set_era; one constant says how many rows a change may hold under conditions. plan_view no longer carries m_knows_all_leases in m_instances_current as well. Behaviour stays.

--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -42,7 +42,7 @@
 /// upstream has been promoted.
 bool is_old_primary_unused(const plan_view& view) {
     return view.m_primary_refuses_connections ||
-           (view.m_instances_current &&
+           (view.m_instances_current && view.m_knows_all_leases &&
             std::all_of(view.m_instances.begin(), view.m_instances.end(), [](const plan_instance& each) {
                 return each.m_has_acknowledged || each.m_cannot_use_primary;
             }));
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -143,6 +144,7 @@
     [[nodiscard]] bool is_alive(const known_member& peer) const;
     [[nodiscard]] bool has_older_version() const;
     [[nodiscard]] member_record own_record() const;
+    [[nodiscard]] std::set<group_name> unreachable_primaries() const;
     void heartbeat(milliseconds batch_delay);
     [[nodiscard]] bool has_urgent_report() const;
     void on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply);
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -11,6 +11,7 @@
 #include "anvilmount/decisions/store_version.hpp"
 #include "anvilmount/gateway/messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -114,6 +115,14 @@
     bool m_renewed{false}; ///< The change included the requested lease_renewal.
 };
 
+/// Makes `era` that of all versions in `answer`.
+inline void set_era(store_answer& answer, std::uint64_t era) {
+    answer.m_version.m_era = era;
+    for (store_row& row : answer.m_rows) {
+        row.m_version.m_era = era;
+    }
+}
+
 /// A heartbeat of an instance whose member record is stored already. A relay publishes the counts of
 /// all the instances that it serves in one row.
 struct lease_renewal {
@@ -121,6 +130,10 @@
     std::uint64_t m_count{0}; ///< From 1; rises with each heartbeat of the incarnation.
 };
 
+/// Rows that one change may write or remove under a condition each. The store accepts at most 100
+/// entries in one change, conditions included.
+constexpr std::size_t max_conditional_rows = 40;
+
 /// An atomic change: it is applied as a whole, or not at all if an expected version differs.
 struct store_change {
     std::vector<store_row> m_expected{}; ///< Preconditions; only table, key and version are compared.
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -44,6 +44,10 @@
     [[nodiscard]] const store_version& version() const { return m_copy.version(); }
     [[nodiscard]] const std::map<std::string, store_row>& rows() const { return m_copy.rows(); }
 
+    /// Returns the row with `key` as a condition of a change: that it is still as known here. Its version
+    /// is unset if the copy has no such row.
+    [[nodiscard]] store_row known_row(const std::string& key) const;
+
     /// Since when requests have gone unanswered or been refused; unset while the store answers.
     [[nodiscard]] std::optional<steady_time> unavailable_since() const { return m_unavailable_since; }
     /// When the store last began to answer again.
--- a/libs/gateway/src/era_recovery.cpp
+++ b/libs/gateway/src/era_recovery.cpp
@@ -16,9 +16,6 @@
 constexpr int max_turn = 100;
 constexpr milliseconds retry_delay{400};
 
-/// The store accepts at most 100 entries in one change, conditions included.
-constexpr std::size_t max_written_rows = 40;
-
 /// Until then a coordinator waits for records that others write back.
 constexpr milliseconds recovery_time{700};
 
@@ -72,15 +69,10 @@
     store_change change{.m_writes = {{.m_table = members_table, .m_key = records_head_key}}};
     for (const group_name& name : m_lost_records) {
         const auto group = m_ports.m_groups->find(name);
-        if (group == m_ports.m_groups->end() || change.m_expected.size() >= max_written_rows) {
+        if (group == m_ports.m_groups->end() || change.m_expected.size() >= max_conditional_rows) {
             continue;
         }
-        const auto known = m_ports.m_records->rows().find(name.m_text);
-        change.m_expected.push_back({.m_table = records_table,
-                                     .m_key = name.m_text,
-                                     .m_version = known == m_ports.m_records->rows().end()
-                                                      ? store_version{}
-                                                      : known->second.m_version});
+        change.m_expected.push_back(m_ports.m_records->known_row(name.m_text));
         change.m_writes.push_back(
             {.m_table = records_table, .m_key = name.m_text, .m_value = to_text(group->second->record())});
     }
@@ -106,7 +98,7 @@
     const std::vector<known_member> missing = directory.unregistered_members();
     store_change change;
     for (const known_member& each : missing) {
-        if (change.m_writes.size() >= max_written_rows) {
+        if (change.m_writes.size() >= max_conditional_rows) {
             break;
         }
         const std::string key = member_prefix + each.m_record.m_name;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -33,9 +33,6 @@
 /// A row of published renewals that has not changed for this long, several leases, is removed.
 constexpr milliseconds stale_renewals_time{60000};
 
-/// The store accepts at most 100 entries in one change.
-constexpr std::size_t max_removed_rows = 40;
-
 /// Many instances of a large fleet may start at once, as after a power failure, or lose their relay.
 /// Their first heartbeats, and those that follow a failed one, wait this long to be batched.
 constexpr milliseconds urgent_batch_delay{120};
@@ -221,12 +218,18 @@
     if (has_older_version()) {
         record.m_acknowledged_epochs = m_own_acknowledged_epochs;
     }
+    record.m_unreachable_primaries = unreachable_primaries();
+    return record;
+}
+
+std::set<group_name> fleet_coordinator::unreachable_primaries() const {
+    std::set<group_name> unreachable;
     for (const auto& [name, group] : m_groups) {
         if (group->is_primary_unreachable(primary_unreachable_delay)) {
-            record.m_unreachable_primaries.insert(name);
+            unreachable.insert(name);
         }
     }
-    return record;
+    return unreachable;
 }
 
 void fleet_coordinator::heartbeat(milliseconds batch_delay) {
@@ -439,7 +442,7 @@
         return;
     }
     m_next_removal = now + stale_renewals_time;
-    stale.resize(std::min(stale.size(), max_removed_rows));
+    stale.resize(std::min(stale.size(), max_conditional_rows));
     m_ports.m_store->m_change({.m_expected = stale, .m_removals = stale}, [](const store_answer& reply) {
         if (reply.m_status != store_status::done) {
             log_event(log_level::info, "member.renewals_not_removed");
@@ -586,20 +589,18 @@
     return m_directory.members().size() >= large_fleet_size;
 }
 
+/// Called at each tick, so it builds no record and does not iterate over the members.
 bool fleet_coordinator::has_urgent_report() const {
     if (!m_reported_record) {
         return false;
     }
-    const member_record now = own_record();
     // The active coordinator waits for an acknowledgement only while a switch is in progress.
-    const bool acknowledgement_changed =
-        now.m_acknowledged_version != m_reported_record->m_acknowledged_version &&
-        std::any_of(m_groups.begin(), m_groups.end(), [](const auto& group) {
-            return group.second->record().m_stage == group_stage::switching;
-        });
-    return acknowledgement_changed ||
-           now.m_unreachable_primaries != m_reported_record->m_unreachable_primaries ||
-           now.m_leaving != m_reported_record->m_leaving;
+    const bool is_switching = std::any_of(m_groups.begin(), m_groups.end(), [](const auto& group) {
+        return group.second->record().m_stage == group_stage::switching;
+    });
+    return (is_switching && own_acknowledged_version() != m_reported_record->m_acknowledged_version) ||
+           unreachable_primaries() != m_reported_record->m_unreachable_primaries ||
+           m_resigned != m_reported_record->m_leaving;
 }
 
 void fleet_coordinator::tick() {
@@ -664,9 +665,7 @@
         return std::any_of(current_holders.begin(), current_holders.end(),
                            [&](const holder_candidate& each) { return each.m_name == instance; });
     };
-    const auto row = m_records.rows().find(name.m_text);
-    const store_version record_version =
-        row == m_records.rows().end() ? store_version{} : row->second.m_version;
+    const store_version record_version = m_records.known_row(name.m_text).m_version;
     const auto own = m_own_acknowledged_epochs.find(name);
     std::vector<plan_instance> members{
         {.m_has_acknowledged = own != m_own_acknowledged_epochs.end() && own->second >= record.m_epoch,
@@ -709,8 +708,7 @@
     view.m_lost_records_written = m_recovery.are_records_recovered();
     // An instance that started before the record changed is among these members; one that starts
     // later reads the new record.
-    view.m_instances_current =
-        m_directory.read_at() >= coordination.m_epoch_observed_at && m_recovery.knows_all_leases();
+    view.m_instances_current = m_directory.read_at() >= coordination.m_epoch_observed_at;
     view.m_knows_all_leases = m_recovery.knows_all_leases();
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
@@ -782,9 +780,6 @@
 }
 
 void fleet_coordinator::write_record(const group_name& name, const group_record& record) {
-    const auto known = m_records.rows().find(name.m_text);
-    const store_version version =
-        known == m_records.rows().end() ? store_version{} : known->second.m_version;
     log_event(log_level::info, "steward.writes_record",
               {{"group", name.m_text},
                {"epoch", std::to_string(record.m_epoch)},
@@ -793,7 +788,7 @@
                {"candidate", record.m_candidate.m_text},
                {"planned", record.m_planned ? "yes" : "no"}});
     m_ports.m_store->m_change(
-        {.m_expected = {{.m_table = records_table, .m_key = name.m_text, .m_version = version}},
+        {.m_expected = {m_records.known_row(name.m_text)},
          .m_writes = {{.m_table = records_table, .m_key = name.m_text, .m_value = to_text(record)},
                       {.m_table = members_table, .m_key = records_head_key}}},
         [name](const store_answer& reply) {
--- a/libs/gateway/src/store_era.cpp
+++ b/libs/gateway/src/store_era.cpp
@@ -46,12 +46,8 @@
                  }} {}
 
 void store_era::complete(store_answer& relayed) const {
-    if (m_current != first_era || relayed.m_version.m_era != 0) {
-        return;
-    }
-    relayed.m_version.m_era = first_era;
-    for (store_row& row : relayed.m_rows) {
-        row.m_version.m_era = first_era;
+    if (m_current == first_era && relayed.m_version.m_era == 0) {
+        set_era(relayed, first_era);
     }
 }
 
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -26,6 +26,13 @@
                                change_handler on_change)
     : m_options(std::move(following)), m_clock(clock), m_store(store), m_on_change(std::move(on_change)) {}
 
+store_row table_follower::known_row(const std::string& key) const {
+    const auto row = rows().find(key);
+    return {.m_table = m_options.m_table,
+            .m_key = key,
+            .m_version = row == rows().end() ? store_version{} : row->second.m_version};
+}
+
 void table_follower::start() {
     send_request(true);
 }
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -135,10 +135,7 @@
 namespace {
 
 store_answer in_era(std::uint64_t era, store_answer made) {
-    made.m_version.m_era = era;
-    for (store_row& row : made.m_rows) {
-        row.m_version.m_era = era;
-    }
+    gateway::set_era(made, era);
     return made;
 }
 
