Share the tests' ways to find the coordinator and to write once

Three test programs had a coordinator_of and a write_succeeds each; both are the fixture's now. The two tests of a follower whose store went back move to table_follower.cpp, where their fixture already was.

--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -14,12 +14,8 @@
 
 namespace {
 
-/// Writes once through an instance and returns whether the write was acknowledged.
 bool write_succeeds(test::gateway_fleet& fleet, int instance, milliseconds timeout = 1200ms) {
-    test::test_caller caller(fleet.instance(instance), "pay");
-    caller.send(kind::write, "WRITE 1 a");
-    fleet.run_for(timeout);
-    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+    return fleet.write_succeeds(instance, timeout);
 }
 
 void expect_writes_to_succeed(test::gateway_fleet& fleet, int instances) {
@@ -38,16 +34,6 @@
     fleet.run_for(1500ms);
 }
 
-/// Returns the number of the instance with the active coordinator; 0 when there is none.
-int coordinator_of(test::gateway_fleet& fleet, int instances) {
-    for (int number = 1; number <= instances; ++number) {
-        if (fleet.instance(number).state_dump()["steward"]) {
-            return number;
-        }
-    }
-    return 0;
-}
-
 }
 
 BOOST_AUTO_TEST_CASE(all_instances_serve_and_one_is_coordinator) {
@@ -111,7 +97,7 @@
     expect_writes_to_succeed(fleet, 3);
     fleet.m_upstreams.crash("orders-1");
     fleet.run_for(2000ms);
-    const int coordinator = coordinator_of(fleet, 3);
+    const int coordinator = fleet.coordinator();
     BOOST_REQUIRE(coordinator > 0);
     const std::uint64_t first_token = fleet.m_token_holders.rbegin()->first;
     fleet.kill(coordinator);
@@ -130,7 +116,7 @@
 BOOST_AUTO_TEST_CASE(no_replica_is_promoted_while_an_isolated_instance_may_use_the_old_primary) {
     test::gateway_fleet fleet(3);
     expect_writes_to_succeed(fleet, 3);
-    const int coordinator = coordinator_of(fleet, 3);
+    const int coordinator = fleet.coordinator();
     const int isolated = coordinator == 1 ? 2 : 1;
     // The isolated instance reaches the old primary, but neither the store nor another instance.
     fleet.m_store.m_refused_clients.insert("i" + std::to_string(isolated));
@@ -159,7 +145,7 @@
 BOOST_AUTO_TEST_CASE(a_primary_that_half_of_the_live_instances_reach_is_kept) {
     test::gateway_fleet fleet(6);
     expect_writes_to_succeed(fleet, 6);
-    const int coordinator = coordinator_of(fleet, 6);
+    const int coordinator = fleet.coordinator();
     std::vector<int> others;
     for (int number = 1; number <= 6; ++number) {
         if (number != coordinator) {
@@ -186,7 +172,7 @@
 BOOST_AUTO_TEST_CASE(a_promotion_waits_for_the_lease_of_a_vanished_instance) {
     test::gateway_fleet fleet(4);
     expect_writes_to_succeed(fleet, 4);
-    const int coordinator = coordinator_of(fleet, 4);
+    const int coordinator = fleet.coordinator();
     fleet.lose_power(coordinator == 1 ? 2 : 1);
     fleet.run_for(4000ms);
     fleet.m_upstreams.crash("orders-1");
@@ -217,7 +203,7 @@
 BOOST_AUTO_TEST_CASE(a_primary_that_recovers_before_a_promotion_is_kept) {
     test::gateway_fleet fleet(3);
     expect_writes_to_succeed(fleet, 3);
-    const int coordinator = coordinator_of(fleet, 3);
+    const int coordinator = fleet.coordinator();
     const int isolated = coordinator == 1 ? 2 : 1;
     fleet.m_store.m_refused_clients.insert("i" + std::to_string(isolated));
     fleet.m_isolated.insert("i" + std::to_string(isolated));
@@ -270,7 +256,7 @@
 BOOST_AUTO_TEST_CASE(a_heartbeat_sent_before_the_takeover_does_not_renew_the_coordinator_row) {
     test::gateway_fleet fleet(2);
     expect_writes_to_succeed(fleet, 2);
-    const int coordinator = coordinator_of(fleet, 2);
+    const int coordinator = fleet.coordinator();
     const int successor = coordinator == 1 ? 2 : 1;
     const std::string name = "i" + std::to_string(successor);
     const auto is_coordinator = [&] {
@@ -383,7 +369,7 @@
     // accepts, each with a connection of its own.
     test::gateway_fleet fleet(30);
     fleet.run_for(3000ms);
-    const int coordinator = coordinator_of(fleet, 30);
+    const int coordinator = fleet.coordinator();
     BOOST_REQUIRE(fleet.instance(coordinator).forwarding_target("scan").has_value());
     std::vector<std::unique_ptr<test::test_caller>> callers;
     const auto send_everywhere = [&] {
@@ -410,7 +396,7 @@
 BOOST_AUTO_TEST_CASE(the_coordinator_keeps_a_connection_to_upstreams_of_groups_that_others_hold) {
     test::gateway_fleet fleet(30);
     fleet.run_for(12000ms);
-    const int coordinator = coordinator_of(fleet, 30);
+    const int coordinator = fleet.coordinator();
     for (int number = 1; number <= 30; ++number) {
         if (!fleet.instance(number).forwarding_target("pay")) {
             continue;
@@ -450,7 +436,7 @@
 BOOST_AUTO_TEST_CASE(a_lease_renewed_through_a_relay_holds_back_a_change_of_primary) {
     test::gateway_fleet fleet(30);
     fleet.run_for(12000ms);
-    const int coordinator = coordinator_of(fleet, 30);
+    const int coordinator = fleet.coordinator();
     const int isolated = coordinator == 30 ? 29 : 30;
     const std::string name = "i" + std::to_string(isolated);
     fleet.m_store.m_refused_clients = {name};
--- a/test/gateway/restore_steps.cpp
+++ b/test/gateway/restore_steps.cpp
@@ -233,17 +233,8 @@
         }
     }
 
-    int coordinator() {
-        for (const int number : m_live) {
-            if (dump(number)["steward"]) {
-                return number;
-            }
-        }
-        return 0;
-    }
-
     void kill_coordinator() {
-        if (const int number = coordinator(); number > 0) {
+        if (const int number = m_fleet.coordinator(); number > 0) {
             kill(number);
         }
     }
@@ -270,8 +261,7 @@
     }
 
     void leave_primary() {
-        m_leaving = newest_primary();
-        m_fleet.m_upstreams.at(m_leaving).m_entry.m_leaving = true;
+        m_fleet.m_upstreams.at(newest_primary()).m_entry.m_leaving = true;
         m_fleet.publish_registry();
     }
 
@@ -280,7 +270,8 @@
         case extra_fault::none:
             break;
         case extra_fault::coordinator_killed: {
-            const int number = coordinator() > 0 ? coordinator() : *m_live.begin();
+            const int active = m_fleet.coordinator();
+            const int number = active > 0 ? active : *m_live.begin();
             kill(number);
             start(number);
             break;
@@ -324,7 +315,6 @@
     std::map<int, std::uint64_t> m_revisions; ///< Newest seen at each instance since its start.
     /// Key: epoch. What the record of that epoch says.
     std::map<std::uint64_t, std::pair<std::string, bool>> m_meanings;
-    std::string m_leaving;
     int m_writes{0};
 };
 
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -3,8 +3,6 @@
 /// given out again. Tables stay current, leases are renewed, and nothing goes back that was in force.
 #include "support/gateway_fleet.hpp"
 
-#include "anvilmount/gateway/table_follower.hpp"
-
 #include <boost/test/unit_test.hpp>
 
 using namespace anvilmount;
@@ -13,27 +11,6 @@
 
 namespace {
 
-/// A follower of table "t", as instances follow their configuration.
-struct followed_table {
-    test::manual_clock m_clock;
-    test::fake_store m_store{m_clock};
-    gateway::clock_port m_clock_port{m_clock.port()};
-    gateway::store_port m_port{m_store.port("i1")};
-    gateway::table_follower m_follower{
-        {.m_table = "t", .m_watch_timeout = 2000ms}, m_clock_port, m_port, [](const auto&) {}};
-
-    followed_table() {
-        m_store.put("t", "a", "1");
-        m_follower.start();
-        m_clock.run_for(50ms);
-    }
-
-    [[nodiscard]] std::string value(const std::string& key) const {
-        const auto row = m_follower.rows().find(key);
-        return row == m_follower.rows().end() ? "none" : row->second.m_value;
-    }
-};
-
 /// Uses up versions, as upstreams do that register again and again.
 void use_versions(test::fake_store& store) {
     for (int change = 0; change < 200; ++change) {
@@ -50,52 +27,9 @@
 }
 
 bool write_succeeds(test::gateway_fleet& fleet, int instance) {
-    test::test_caller caller(fleet.instance(instance), "pay");
-    if (caller.is_open()) {
-        caller.send(kind::write, "WRITE 1 a");
-    }
-    fleet.run_for(200ms);
-    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+    return fleet.write_succeeds(instance, 200ms);
 }
 
-/// Returns which of `instances` has the active coordinator; 0 when none has.
-int coordinator_of(test::gateway_fleet& fleet, const std::vector<int>& instances) {
-    for (const int number : instances) {
-        if (fleet.instance(number).state_dump()["steward"]) {
-            return number;
-        }
-    }
-    return 0;
-}
-
-}
-
-BOOST_AUTO_TEST_CASE(a_change_made_after_the_store_went_back_reaches_the_copy) {
-    followed_table table;
-    const auto earlier = table.m_store.back_up();
-    for (int change = 0; change < 10; ++change) {
-        table.m_store.put("t", "a", "lost " + std::to_string(change));
-    }
-    table.m_clock.run_for(50ms);
-    table.m_store.restore(earlier);
-    table.m_store.put("t", "a", "2");
-    table.m_store.put("t", "b", "3");
-    table.m_clock.run_for(5000ms);
-    BOOST_TEST(table.value("a") == "2");
-    BOOST_TEST(table.value("b") == "3");
-}
-
-BOOST_AUTO_TEST_CASE(following_a_store_that_went_back_costs_no_more_calls_than_before) {
-    followed_table table;
-    const auto earlier = table.m_store.back_up();
-    for (int change = 0; change < 10; ++change) {
-        table.m_store.put("t", "a", "lost " + std::to_string(change));
-    }
-    table.m_clock.run_for(50ms);
-    table.m_store.restore(earlier);
-    const int before = table.m_store.m_calls;
-    table.m_clock.run_for(20000ms);
-    BOOST_TEST(table.m_store.m_calls - before <= 15);
 }
 
 BOOST_AUTO_TEST_CASE(a_configuration_stored_after_the_store_went_back_is_in_force) {
@@ -143,14 +77,11 @@
 BOOST_AUTO_TEST_CASE(no_fencing_token_is_given_out_again_after_the_store_forgot_its_holder) {
     test::gateway_fleet fleet(3);
     const auto earlier = fleet.m_store.back_up();
-    const int first = coordinator_of(fleet, {1, 2, 3});
+    const int first = fleet.coordinator();
     BOOST_REQUIRE(first > 0);
     fleet.kill(first);
-    const std::vector<int> others = first == 1   ? std::vector{2, 3}
-                                    : first == 2 ? std::vector{1, 3}
-                                                 : std::vector{1, 2};
     fleet.run_for(7000ms);
-    const int second = coordinator_of(fleet, others);
+    const int second = fleet.coordinator();
     BOOST_REQUIRE(second > 0);
     fleet.m_upstreams.crash("orders-1");
     fleet.run_for(2500ms);
@@ -348,7 +279,7 @@
     };
     const group_record newest = stored();
     BOOST_REQUIRE(newest.m_primary.m_text != "orders-1");
-    const int coordinator = coordinator_of(fleet, {1, 2, 3});
+    const int coordinator = fleet.coordinator();
     BOOST_REQUIRE(coordinator > 0);
     fleet.m_store.m_unreachable = true;
     fleet.run_for(2000ms);
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -16,10 +16,7 @@
 namespace {
 
 bool write_succeeds(test::gateway_fleet& fleet, int instance) {
-    test::test_caller caller(fleet.instance(instance), "pay");
-    caller.send(kind::write, "WRITE 1 a");
-    fleet.run_for(300ms);
-    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+    return fleet.write_succeeds(instance, 300ms);
 }
 
 bool is_coordinator(test::gateway_fleet& fleet, int instance) {
--- a/test/gateway/table_follower.cpp
+++ b/test/gateway/table_follower.cpp
@@ -34,6 +34,16 @@
         const auto row = m_follower.rows().find(key);
         return row == m_follower.rows().end() ? "none" : row->second.m_value;
     }
+
+    /// The follower takes in ten changes that the store then forgets.
+    void lose_changes() {
+        const auto earlier = m_store.back_up();
+        for (int change = 0; change < 10; ++change) {
+            m_store.put("t", "a", "lost " + std::to_string(change));
+        }
+        m_clock.run_for(50ms);
+        m_store.restore(earlier);
+    }
 };
 
 }
@@ -163,3 +173,21 @@
     BOOST_TEST(store.m_calls - before <= 15);
     BOOST_TEST(follower.rows().at("a").m_value == "99");
 }
+
+BOOST_AUTO_TEST_CASE(a_change_made_after_the_store_went_back_reaches_the_copy) {
+    followed_table table;
+    table.lose_changes();
+    table.m_store.put("t", "a", "2");
+    table.m_store.put("t", "b", "3");
+    table.m_clock.run_for(5000ms);
+    BOOST_TEST(table.value("a") == "2");
+    BOOST_TEST(table.value("b") == "3");
+}
+
+BOOST_AUTO_TEST_CASE(following_a_store_that_went_back_costs_no_more_calls_than_before) {
+    followed_table table;
+    table.lose_changes();
+    const int before = table.m_store.m_calls;
+    table.m_clock.run_for(20000ms);
+    BOOST_TEST(table.m_store.m_calls - before <= 15);
+}
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -31,10 +31,7 @@
 /// Returns the reply as the version before encodes it.
 std::string without_era(const std::string& reply) {
     gateway::store_answer answer = gateway::decode_reply(reply).value();
-    answer.m_version.m_era = 0;
-    for (gateway::store_row& row : answer.m_rows) {
-        row.m_version.m_era = 0;
-    }
+    gateway::set_era(answer, 0);
     return gateway::encode_reply(answer);
 }
 
@@ -128,11 +125,7 @@
                                         !follower->second->rows().contains(configuration_key)) {
                                         return std::nullopt;
                                     }
-                                    return gateway::store_row{
-                                        .m_table = configuration_table,
-                                        .m_key = configuration_key,
-                                        .m_version =
-                                            follower->second->rows().at(configuration_key).m_version};
+                                    return follower->second->known_row(configuration_key);
                                 },
                                 .m_refresh = [this, name] { refresh_configuration(name); },
                                 .m_on_store_recovered = [this, name] { refresh_configuration(name); }}};
@@ -269,6 +262,24 @@
     m_clock.after(linger_time, m_upstreams.connection_closer(name));
 }
 
+int gateway_fleet::coordinator() {
+    for (const auto& [name, each] : m_instances) {
+        if (each->state_dump()["steward"]) {
+            return std::stoi(name.substr(1));
+        }
+    }
+    return 0;
+}
+
+bool gateway_fleet::write_succeeds(int number, milliseconds timeout) {
+    test_caller caller(instance(number), "pay");
+    if (caller.is_open()) {
+        caller.send(gateway::statement_kind::write, "WRITE 1 a");
+    }
+    run_for(timeout);
+    return !caller.m_answers.empty() && caller.m_answers[0].succeeded();
+}
+
 void gateway_fleet::publish_registry() {
     for (const auto& [name, each] : m_instances) {
         each->adopt_registry(m_upstreams.registry());
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -53,6 +53,12 @@
 
     gateway::gateway& instance(int number) { return *m_instances.at("i" + std::to_string(number)); }
 
+    /// Returns the number of the instance with the active coordinator; 0 when there is none.
+    [[nodiscard]] int coordinator();
+
+    /// Writes once through an instance and returns whether the write was acknowledged by then.
+    bool write_succeeds(int number, milliseconds timeout);
+
     /// Ends an instance as if its process was killed: its connections close at once.
     void kill(int number);
     /// Ends an instance as if its machine lost power: its addresses do not answer, and the upstreams close
