--- a/libs/gateway/include/anvilmount/gateway/store_access.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_access.hpp
@@ -11,6 +11,7 @@
 #include "anvilmount/observe/metrics.hpp"
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -71,6 +72,7 @@
     void send_direct(const store_question& request, const store_callback& done);
     void send_relayed(const endpoint& relay, const store_question& request, const store_callback& done);
     [[nodiscard]] store_path choose() const;
+    void log_path(const std::string& table, const store_path& path);
 
     const clock_port& m_clock;
     store_era& m_era;
@@ -86,6 +88,7 @@
     steady_time m_prefer_direct_until{};
     /// See is_read_directly().
     std::set<std::string> m_directly_read_tables;
+    std::map<std::string, store_path> m_logged_paths; ///< Last path of requests for each table.
 };
 
 }
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -68,6 +68,7 @@
     bool m_snapshot_in_flight{false};
     /// Of the newest request; answers to older ones are ignored.
     std::uint64_t m_request_number{0};
+    steady_time m_requested_at{};
     int m_consecutive_failures{0};
     bool m_history_lost{false}; ///< No watch has succeeded since one was answered with history_gone.
     std::optional<steady_time> m_unavailable_since;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -310,33 +310,31 @@
 
 void fleet_coordinator::on_heartbeat_conflict(bool renewed, const store_answer& reply) {
     m_next_heartbeat = m_ports.m_clock->m_now() + min_heartbeat_interval;
-    const auto version_of = [&](const std::string& key) {
+    const auto version_of = [&](const std::string& table, const std::string& key) {
         const auto found =
-            std::find_if(reply.m_rows.begin(), reply.m_rows.end(), [&](const store_row& row) {
-                return row.m_table == members_table && row.m_key == key;
-            });
+            std::find_if(reply.m_rows.begin(), reply.m_rows.end(),
+                         [&](const store_row& row) { return row.m_table == table && row.m_key == key; });
         return found == reply.m_rows.end() ? store_version{} : found->m_version;
     };
+    const store_version stored_records = version_of(members_table, records_head_key);
+    const auto configuration = m_ports.m_configuration.m_known();
+    const store_version stored_configuration =
+        configuration ? version_of(configuration->m_table, configuration->m_key) : store_version{};
     log_event(log_level::info, "heartbeat.conflict",
               {{"known_records", to_string(m_records_head)},
-               {"stored_records", to_string(version_of(records_head_key))},
+               {"stored_records", to_string(stored_records)},
                {"copy_version", to_string(m_records.version())},
+               {"known_configuration", configuration ? to_string(configuration->m_version) : "none"},
+               {"stored_configuration", to_string(stored_configuration)},
                {"store_version", to_string(reply.m_version)}});
-    m_records_head = version_of(records_head_key);
+    m_records_head = stored_records;
     if (m_records.version() < m_records_head) {
         m_records.refresh();
     }
-    if (const auto configuration = m_ports.m_configuration.m_known()) {
-        const bool newest =
-            std::any_of(reply.m_rows.begin(), reply.m_rows.end(), [&](const store_row& row) {
-                return row.m_table == configuration->m_table && row.m_key == configuration->m_key &&
-                       row.m_version == configuration->m_version;
-            });
-        if (!newest) {
-            m_ports.m_configuration.m_refresh();
-        }
+    if (configuration && stored_configuration != configuration->m_version) {
+        m_ports.m_configuration.m_refresh();
     }
-    if (m_is_active && renewed && version_of(coordinator_key) != m_coordinator_version) {
+    if (m_is_active && renewed && version_of(members_table, coordinator_key) != m_coordinator_version) {
         step_down();
         m_next_poll = m_ports.m_clock->m_now();
     }
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -2,6 +2,8 @@
 /// Chooses a path for each request, sends the request and records whether the path answered.
 #include "anvilmount/gateway/store_access.hpp"
 
+#include "anvilmount/observe/event_log.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -79,6 +81,7 @@
 void store_access::send(const store_question& request, const std::string& table,
                         const store_callback& done) {
     const store_path path = choose();
+    log_path(table, path);
     const store_callback on_reply = [this, path, table, done](const store_answer& reply) {
         if (is_answer(reply.m_status)) {
             m_choice.record_success(path);
@@ -99,6 +102,16 @@
     }
 }
 
+void store_access::log_path(const std::string& table, const store_path& path) {
+    const auto logged = m_logged_paths.find(table);
+    if (table.empty() || (logged != m_logged_paths.end() && logged->second == path)) {
+        return;
+    }
+    m_logged_paths[table] = path;
+    log_event(log_level::info, "store.path",
+              {{"table", table}, {"relay", path.m_relay ? to_string(*path.m_relay) : "none"}});
+}
+
 void store_access::send_direct(const store_question& request, const store_callback& done) {
     if (const auto* read = std::get_if<read_question>(&request)) {
         if (read->m_shares_copy) {
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -46,6 +46,7 @@
 void table_follower::send_request(bool snapshot) {
     const std::uint64_t request_number = ++m_request_number;
     m_snapshot_in_flight = snapshot;
+    m_requested_at = m_clock.m_now();
     const auto on_reply = [this, snapshot, request_number](const store_answer& reply) {
         if (request_number == m_request_number) {
             on_answer(snapshot, reply);
@@ -127,6 +128,14 @@
     m_snapshot_in_flight = false;
     const std::uint64_t applied_request = m_request_number;
     if (changed) {
+        log_event(
+            log_level::info, "store.table_changed",
+            {{"table", m_options.m_table},
+             {"version", to_string(reply.m_version)},
+             {"by", snapshot ? "read" : "watch"},
+             {"asked_ms_ago",
+              std::to_string(
+                  std::chrono::duration_cast<milliseconds>(m_clock.m_now() - m_requested_at).count())}});
         m_on_change(m_copy.rows());
     }
     if (m_request_number == applied_request) {
