Probe the connections on which an instance waits for news of the store

Cause: a watch on a connection that has lost its path looks like a watch of a table that does not change, for 16.2 s. Until then only the refusal of the next heartbeat tells, and that is sent each 3 s, batched for up to 1.5 s, over connections that are silent too: up to 7.4 s (store.table_changed: 66 of 74 by a read after a refused heartbeat). It costs no call.

--- a/libs/wire/src/http2_connection.cpp
+++ b/libs/wire/src/http2_connection.cpp
@@ -242,7 +242,9 @@
 std::shared_ptr<http2_connection> http2_connection::connect(reactor& loop, const endpoint& where,
                                                             handlers callbacks) {
     std::shared_ptr<http2_connection> connection(new http2_connection(loop, std::move(callbacks)));
-    connection->start(tcp_stream::connect(loop, where, connection->stream_handlers()), false);
+    auto stream = tcp_stream::connect(loop, where, connection->stream_handlers());
+    stream->enable_keepalive();
+    connection->start(std::move(stream), false);
     return connection;
 }
 
