Let a relay read again what a refused change has shown to be newer

A relay whose watch hears nothing answers reads and watches from its copy as if it was current, also right after it passed on the refusal of a heartbeat that named the newer row: the instance that was refused reads the old configuration once more.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -123,7 +123,7 @@
     [[nodiscard]] steady_time members_polled_at() const { return m_directory.read_at(); }
 
     /// The groups' records as followed here.
-    [[nodiscard]] const table_follower& records() const { return m_records; }
+    [[nodiscard]] table_follower& records() { return m_records; }
     [[nodiscard]] bool has_records() const { return m_records.is_loaded(); }
 
 private:
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -76,7 +76,7 @@
     [[nodiscard]] const store_port& store() const { return m_store.port(); }
 
     /// Answers other instances' requests for a table from `copy`, which must outlive this gateway.
-    void share_copy(const table_follower& copy) { m_relay.share_copy(copy); }
+    void share_copy(table_follower& copy) { m_relay.share_copy(copy); }
 
     /// Relays another instance's store question.
     void serve_store_request(const std::string& request, store_relay::responder respond) {
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -33,7 +33,7 @@
     store_relay& operator=(const store_relay&) = delete;
 
     /// Answers requests for this table from `copy`, which must outlive the relay.
-    void share_copy(const table_follower& copy);
+    void share_copy(table_follower& copy);
 
     /// Answers one encoded request through `respond`.
     void serve(const std::string& request, responder respond);
@@ -93,13 +93,15 @@
                                                                    const follow_question& request);
     void change(const store_change& request, const store_callback& done);
     void send_due_batch();
+    /// A change was refused: the rows that it named are in the store as `refusal` shows them.
+    void note_stored_rows(const store_answer& refusal);
 
     const clock_port& m_clock;
     const store_era& m_era;
     const store_port& m_direct;
     store_access& m_access;
     metrics& m_metrics;
-    std::map<std::string, const table_follower*> m_copies;
+    std::map<std::string, table_follower*> m_copies;
     std::map<std::string, polled_table> m_polled;
     store_row m_renewal_row;
     published_renewals m_renewals;
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -37,6 +37,13 @@
     /// to miss a newer row. Does nothing while a snapshot is in flight.
     void refresh();
 
+    /// The store has a row of the table in `version`, as the refusal of a change shows: reads a new
+    /// snapshot unless the copy is as new.
+    void note_stored_version(const store_version& version);
+
+    /// Whether the copy is as new as all that is known to be stored.
+    [[nodiscard]] bool is_current() const { return m_copy.version() >= m_stored_version; }
+
     [[nodiscard]] const std::string& table() const { return m_options.m_table; }
     [[nodiscard]] bool is_loaded() const { return m_loaded; }
     [[nodiscard]] const table_copy& copy() const { return m_copy; }
@@ -64,6 +71,7 @@
     const store_port& m_store;
     change_handler m_on_change;
     table_copy m_copy;
+    store_version m_stored_version; ///< Newest one seen in the refusal of a change.
     bool m_loaded{false};
     bool m_snapshot_in_flight{false};
     /// Of the newest request; answers to older ones are ignored.
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -50,7 +50,7 @@
     });
 }
 
-void store_relay::share_copy(const table_follower& copy) {
+void store_relay::share_copy(table_follower& copy) {
     m_copies[copy.table()] = &copy;
 }
 
@@ -59,7 +59,8 @@
     // Copies that are themselves read through relays are not used: two instances could feed each
     // other without ever reaching the store.
     const bool usable = found != m_copies.end() && found->second->is_loaded() &&
-                        !found->second->unavailable_since() && m_access.is_read_directly(table) &&
+                        found->second->is_current() && !found->second->unavailable_since() &&
+                        m_access.is_read_directly(table) &&
                         found->second->version().m_era == m_era.current();
     return usable ? found->second : nullptr;
 }
@@ -263,6 +264,9 @@
     m_direct.m_change(batch.m_change,
                       [this, requesters = batch.m_requesters](const store_answer& received) {
                           m_change_in_flight = false;
+                          if (received.m_status == store_status::conflict) {
+                              note_stored_rows(received);
+                          }
                           store_answer reply = received;
                           for (const requester& each : requesters) {
                               reply.m_renewed = each.m_renews && reply.m_status == store_status::done;
@@ -272,6 +276,14 @@
                       });
 }
 
+void store_relay::note_stored_rows(const store_answer& refusal) {
+    for (const store_row& row : refusal.m_rows) {
+        if (const auto copy = m_copies.find(row.m_table); copy != m_copies.end()) {
+            copy->second->note_stored_version(row.m_version);
+        }
+    }
+}
+
 void store_relay::tick() {
     const steady_time now = m_clock.m_now();
     send_due_batch();
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -43,6 +43,13 @@
     }
 }
 
+void table_follower::note_stored_version(const store_version& version) {
+    m_stored_version = std::max(m_stored_version, version);
+    if (m_loaded && !is_current()) {
+        refresh();
+    }
+}
+
 void table_follower::send_request(bool snapshot) {
     const std::uint64_t request_number = ++m_request_number;
     m_snapshot_in_flight = snapshot;
