--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -72,7 +72,8 @@
     }
 }
 
-gateway_fleet::gateway_fleet(int instances, int groups) {
+gateway_fleet::gateway_fleet(int instances, int groups, endpoint forwarding)
+    : m_forwarding(std::move(forwarding)) {
     m_upstreams.add_group("orders", 3);
     for (int group = 2; group <= groups; ++group) {
         const std::string name = "group" + std::to_string(group);
@@ -182,7 +183,8 @@
             .m_incarnation = std::to_string(++m_starts),
             .m_data_centre = {"dc" + std::to_string(1 + number % 3)},
             .m_probe_address = {.m_address = "10.1.0.1", .m_port = static_cast<std::uint16_t>(number)},
-            .m_forwarding_address = {.m_address = "10.1.0.3", .m_port = static_cast<std::uint16_t>(number)},
+            .m_forwarding_address = {.m_address = m_forwarding.m_address,
+                                     .m_port = static_cast<std::uint16_t>(m_forwarding.m_port + number)},
             .m_store_relay_address = {.m_address = "10.1.0.2",
                                       .m_port = static_cast<std::uint16_t>(number)}},
         ports(name));
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -46,7 +46,9 @@
 /// groups.
 class gateway_fleet {
 public:
-    explicit gateway_fleet(int instances, int groups = 1);
+    /// Instance N accepts forwarded sessions at the port of `forwarding` plus N. Nothing listens there.
+    explicit gateway_fleet(int instances, int groups = 1,
+                           endpoint forwarding = {.m_address = "10.1.0.3", .m_port = 0});
 
     /// Advances the virtual time and calls tick() of every instance every 10 ms.
     void run_for(milliseconds time);
@@ -113,6 +115,7 @@
     std::map<std::string, std::unique_ptr<gateway::gateway>> m_instances;
     std::vector<std::unique_ptr<gateway::gateway>> m_removed; ///< Deferred calls may still refer to them.
     int m_starts{0};
+    endpoint m_forwarding;
 };
 
 }
