Keep a session alive while it serves a statement

A session that refuses a statement and closes was used after the close callback had released its last reference (serve_next() reads m_busy and m_waiting): a forwarded session whose sender has a newer configuration could end the process. gateway/session_lifetime instruments the session's own code with the address sanitizer, also in the release build: heap-use-after-free in serve_next() before, none after.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -57,6 +57,8 @@
 }
 
 void caller_session::serve_next() {
+    // Closing releases the references of the connection and the gateway.
+    const auto self = shared_from_this();
     while (!m_busy && !m_waiting.empty() && !m_closed) {
         m_busy = true;
         m_arrived = m_context.m_clock->m_now();
