Wait for the lease of an instance that refuses a probe

An instance that was cut off with resets refused the coordinator's probe, counted as ended, and went on writing and reading at the old primary under its lease while a replica was promoted. Cause: a refused connection was taken for the end of the process. It proves nothing; only the time of the lease does, or a row of the next process on the same machine, which replaces the one before. Change: a refused probe only lets a coordinator's successor act sooner (the change of the row decides). Leases and shares of connections do not look at it. gateway/fleet_faults, no_replica_is_promoted_while_an_instance_that_refuses_probes_may_use_the_old_primary: writes acknowledged at both primaries before. The case beside it shares its code and keeps its checks.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -37,7 +37,7 @@
 /// What the coordinator knows of one instance.
 struct plan_instance {
     bool m_has_acknowledged{false};     ///< Has adopted the record's epoch.
-    bool m_cannot_use_primary{false};   ///< Its process has ended, or it can hold no lease any more.
+    bool m_cannot_use_primary{false};   ///< It can hold no lease any more.
     bool m_has_connections{true};       ///< Only such instances can observe the primary.
     bool m_cannot_reach_primary{false}; ///< The primary does not answer this instance.
     bool m_is_alive{true};              ///< Heartbeats arrive; otherwise its last report is ignored.
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -26,8 +26,8 @@
 
 namespace anvilmount::gateway {
 
-/// Reports whether a connection to `address` is refused, which proves that no process listens
-/// there.
+/// Reports whether a connection to `address` is refused. That is a sign of a process that has ended, not a
+/// proof: a cut between two machines may refuse connections too.
 using process_probe = std::function<void(const endpoint& address, std::function<void(bool refused)>)>;
 
 /// How often one instance calls the store on the fleet's behalf. Every call of every instance is
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -38,7 +38,7 @@
 struct member_record {
     std::string m_name{};
     std::string m_incarnation{}; ///< New each time the instance's process starts.
-    /// A refused connection to this address proves that the process has ended.
+    /// Probed when the process is late to renew the coordinator's role.
     endpoint m_probe_address{};
     /// Where the instance accepts sessions that other instances forward.
     endpoint m_forwarding_address{};
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -29,8 +29,9 @@
     store_version m_version{}; ///< Unset while the store does not list it.
     /// Later than the heartbeat itself by up to a poll interval, never earlier.
     steady_time m_heartbeat_seen_at{};
-    /// The process refused a probe since its last heartbeat.
-    bool m_process_ended{false};
+    /// A connection to it was refused since its last heartbeat. Its process may have ended, or only be
+    /// unreachable from here: this proves nothing about its lease.
+    bool m_refused_probe{false};
     steady_time m_probed_at{};
 };
 
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -78,8 +78,8 @@
         std::vector<waiting_reader> m_waiting{};
     };
 
-    /// A read of a whole table on behalf of all that ask for it. Whoever asks while one is in flight gets the
-    /// next: that one may have been answered before something that the asker knows of.
+    /// A read of a whole table on behalf of all that ask for it. Whoever asks while one is in flight gets
+    /// the next: that one may have been answered before something that the asker knows of.
     struct shared_read {
         bool m_in_flight{false};
         std::vector<store_callback> m_waiting{};
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -486,7 +486,7 @@
     if (now >= m_coordinator_changed_at + coordinator_suspect_timeout) {
         probe(holder->second);
     }
-    return holder->second.m_process_ended || now >= m_coordinator_changed_at + coordinator_timeout;
+    return holder->second.m_refused_probe || now >= m_coordinator_changed_at + coordinator_timeout;
 }
 
 void fleet_coordinator::try_become_active() {
@@ -537,7 +537,7 @@
     // heartbeats.
     const milliseconds silence_timeout = intervals().m_heartbeat_interval * max_missed_heartbeats +
                                          max_heartbeat_latency + intervals().m_poll_interval;
-    return !peer.m_process_ended && m_directory.read_at() < peer.m_heartbeat_seen_at + silence_timeout;
+    return m_directory.read_at() < peer.m_heartbeat_seen_at + silence_timeout;
 }
 
 int fleet_coordinator::live_instances() const {
@@ -650,7 +650,7 @@
         const auto known = m_directory.members().find(key);
         if (refused && known != m_directory.members().end() &&
             known->second.m_record.m_incarnation == incarnation) {
-            known->second.m_process_ended = true;
+            known->second.m_refused_probe = true;
         }
     });
 }
@@ -669,18 +669,15 @@
         {.m_has_acknowledged = own != m_own_acknowledged_epochs.end() && own->second >= record.m_epoch,
          .m_has_connections = is_holder(m_options.m_name),
          .m_cannot_reach_primary = group.is_primary_unreachable(primary_unreachable_delay)}};
-    for (auto& [key, each] : m_directory.members()) {
+    for (const auto& [key, each] : m_directory.members()) {
         if (each.m_record.m_name == m_options.m_name) {
             continue;
         }
         const bool agreed = has_acknowledged(each.m_record, name, record.m_epoch, record_version);
         const bool lease_expired =
             m_directory.read_at() >= each.m_heartbeat_seen_at + m_lease.duration() + lease_margin;
-        if (record.m_stage == group_stage::switching && !agreed) {
-            probe(each);
-        }
         members.push_back({.m_has_acknowledged = agreed,
-                           .m_cannot_use_primary = each.m_process_ended || lease_expired,
+                           .m_cannot_use_primary = lease_expired,
                            .m_has_connections = is_holder(each.m_record.m_name),
                            .m_cannot_reach_primary = each.m_record.m_unreachable_primaries.contains(name),
                            .m_is_alive = is_alive(each)});
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -176,7 +176,7 @@
         return;
     }
     member.m_heartbeat_seen_at = now;
-    member.m_process_ended = false;
+    member.m_refused_probe = false;
 }
 
 void member_directory::apply_renewals(const store_row& row, steady_time now) {
@@ -197,7 +197,7 @@
     for (auto& [key, member] : m_members) {
         if (renewed.contains(member.m_record.m_incarnation)) {
             member.m_heartbeat_seen_at = now;
-            member.m_process_ended = false;
+            member.m_refused_probe = false;
         }
     }
 }
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -34,6 +34,38 @@
     fleet.run_for(1500ms);
 }
 
+/// Returns an instance whose coordinator is on standby, after it was cut off from the store and the other
+/// instances. It still reaches the old primary, which nobody else does.
+int isolate_with_primary(test::gateway_fleet& fleet) {
+    const int isolated = fleet.coordinator() == 1 ? 2 : 1;
+    fleet.m_store.m_refused_clients.insert("i" + std::to_string(isolated));
+    fleet.m_isolated.insert("i" + std::to_string(isolated));
+    for (int number = 1; number <= 3; ++number) {
+        if (number != isolated) {
+            fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
+        }
+    }
+    return isolated;
+}
+
+/// Expects that a replica is promoted in the end, and that the writes of `isolated` at the old primary are
+/// not acknowledged from then on.
+void expect_one_primary(test::gateway_fleet& fleet, int isolated) {
+    const int coordinator = fleet.coordinator();
+    for (int round = 0; round < 40; ++round) {
+        const bool replaced =
+            fleet.m_upstreams.at("orders-2").m_is_primary || fleet.m_upstreams.at("orders-3").m_is_primary;
+        const bool acknowledged = write_succeeds(fleet, isolated, 100ms);
+        BOOST_TEST(!(replaced && acknowledged));
+        attempt_writes(fleet, 0);
+        test::test_caller other(fleet.instance(coordinator), "pay");
+        other.send(kind::write, "WRITE 3 c");
+        fleet.run_for(400ms);
+    }
+    BOOST_TEST(fleet.m_upstreams.m_promotions >= 1);
+    BOOST_TEST(write_succeeds(fleet, coordinator));
+}
+
 }
 
 BOOST_AUTO_TEST_CASE(all_instances_serve_and_one_is_coordinator) {
@@ -116,28 +148,15 @@
 BOOST_AUTO_TEST_CASE(no_replica_is_promoted_while_an_isolated_instance_may_use_the_old_primary) {
     test::gateway_fleet fleet(3);
     expect_writes_to_succeed(fleet, 3);
-    const int coordinator = fleet.coordinator();
-    const int isolated = coordinator == 1 ? 2 : 1;
-    // The isolated instance reaches the old primary, but neither the store nor another instance.
-    fleet.m_store.m_refused_clients.insert("i" + std::to_string(isolated));
-    fleet.m_isolated.insert("i" + std::to_string(isolated));
-    for (int number = 1; number <= 3; ++number) {
-        if (number != isolated) {
-            fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
-        }
-    }
-    for (int round = 0; round < 40; ++round) {
-        const bool replaced =
-            fleet.m_upstreams.at("orders-2").m_is_primary || fleet.m_upstreams.at("orders-3").m_is_primary;
-        const bool acknowledged = write_succeeds(fleet, isolated, 100ms);
-        BOOST_TEST(!(replaced && acknowledged));
-        attempt_writes(fleet, 0);
-        test::test_caller other(fleet.instance(coordinator), "pay");
-        other.send(kind::write, "WRITE 3 c");
-        fleet.run_for(400ms);
-    }
-    BOOST_TEST(fleet.m_upstreams.m_promotions >= 1);
-    BOOST_TEST(write_succeeds(fleet, coordinator));
+    expect_one_primary(fleet, isolate_with_primary(fleet));
+}
+
+BOOST_AUTO_TEST_CASE(no_replica_is_promoted_while_an_instance_that_refuses_probes_may_use_the_old_primary) {
+    test::gateway_fleet fleet(3);
+    expect_writes_to_succeed(fleet, 3);
+    const int isolated = isolate_with_primary(fleet);
+    fleet.m_refuses_probes = {"i" + std::to_string(isolated)};
+    expect_one_primary(fleet, isolated);
 }
 
 /// Only live instances decide on a primary. Two of six have lost the store; of the other four, two
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -157,7 +157,7 @@
     BOOST_TEST((plan.next(view, start + 15s).m_step == plan_step::promote));
 }
 
-BOOST_AUTO_TEST_CASE(a_promotion_does_not_wait_for_an_instance_whose_process_has_ended) {
+BOOST_AUTO_TEST_CASE(a_promotion_does_not_wait_for_an_instance_whose_lease_is_over) {
     plan_view view = switching(false);
     view.m_instances[1] = {.m_has_acknowledged = false, .m_cannot_use_primary = true};
     const plan_order order = promotion_plan(options).next(view, start);
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -633,9 +633,9 @@
     relay.run_for(2100ms);
     const store_version known = relay.m_copy.known_row("a").m_version;
     relay.m_store.put("t", "a", "2");
-    relay.send_request(gateway::store_change{
-        .m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
-        .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
+    relay.send_request(
+        gateway::store_change{.m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
+                              .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
     relay.run_for(30ms);
     BOOST_REQUIRE(relay.m_replies.size() == 1);
     BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::conflict));
@@ -654,9 +654,9 @@
     relay.send_request(
         gateway::follow_question{.m_table = "t", .m_after_version = known, .m_timeout = 1500ms});
     relay.m_store.put("t", "a", "2");
-    relay.send_request(gateway::store_change{
-        .m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
-        .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
+    relay.send_request(
+        gateway::store_change{.m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
+                              .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
     relay.run_for(50ms);
     BOOST_REQUIRE(relay.m_replies.size() == 2);
     BOOST_REQUIRE(relay.m_replies[1].m_rows.size() == 1);
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -117,7 +117,8 @@
                 [this](const endpoint& address, const std::function<void(bool)>& done) {
                     const std::string owner = "i" + std::to_string(address.m_port);
                     m_clock.after(milliseconds{1}, [this, owner, done] {
-                        done(!m_instances.contains(owner) && !m_powered_off.contains(owner));
+                        done((!m_instances.contains(owner) && !m_powered_off.contains(owner)) ||
+                             m_refuses_probes.contains(owner));
                     });
                 },
             .m_configuration = {.m_known = [this, name]() -> std::optional<gateway::store_row> {
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -87,8 +87,9 @@
     gateway::fleet_configuration m_configuration;
     std::map<std::uint64_t, std::string> m_token_holders; ///< Who ordered promotions, by fencing token.
     bool m_loses_promotion_answers{false};
-    std::set<std::string> m_powered_off; ///< Instances whose addresses do not answer.
-    std::set<std::string> m_isolated;    ///< Instances that neither reach others nor are reached by them.
+    std::set<std::string> m_powered_off;    ///< Instances whose addresses do not answer.
+    std::set<std::string> m_refuses_probes; ///< Instances whose addresses refuse connections of others.
+    std::set<std::string> m_isolated; ///< Instances that neither reach others nor are reached by them.
     /// Bytes per millisecond that an instance can send to others; 0: no limit.
     std::size_t m_link_rate{0};
     std::size_t m_peer_bytes{0};     ///< Sent between instances so far.
