Wait for all leases also when the primary refuses the coordinator's connections

Two refused connects of the coordinator counted as proof that the primary does not run: it was replaced without any acknowledgement, while an instance to which the path was open wrote there. Change: promotion_plan looks at acknowledgements and leases only. That the primary refuses the coordinator still saves the wait for a recovered primary after a slow switch, which is no matter of safety. Test replaced: a_primary_that_refuses_connections_is_replaced_without_acknowledgements asked for the fault; now ..._is_not_replaced_while_an_instance_may_use_it, which failed before. restored_store waits for the lease of the instance that it kills before it expects the promotion; its checks stay.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -54,7 +54,7 @@
     bool m_coordinator_cannot_reach_primary{false};
     bool m_coordinator_has_connections{true};  ///< Otherwise only the other instances decide.
     bool m_registry_complete{true};            ///< An upstream without registration is gone.
-    bool m_primary_refuses_connections{false}; ///< The primary's process does not run.
+    bool m_primary_refuses_connections{false}; ///< To the coordinator: it seems not to run.
     std::uint64_t m_era{0};                    ///< Of the store; see era_number.hpp.
     steady_time m_era_seen_at{};               ///< When the coordinator first saw this era.
     /// Instances that knew newer records than the store's older copy have had the time to write them.
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -37,15 +37,13 @@
     return view.m_coordinator_cannot_reach_primary || !view.m_coordinator_has_connections;
 }
 
-/// Returns whether no instance can use the old primary any more. A primary that
-/// refuses connections is not running, and restarts as a replica once another
-/// upstream has been promoted.
+/// Returns whether no instance can use the old primary any more. What the coordinator sees of
+/// the primary says nothing about that: other instances may have a path to it.
 bool is_old_primary_unused(const plan_view& view) {
-    return view.m_primary_refuses_connections ||
-           (view.m_instances_current && view.m_knows_all_leases &&
-            std::all_of(view.m_instances.begin(), view.m_instances.end(), [](const plan_instance& each) {
-                return each.m_has_acknowledged || each.m_cannot_use_primary;
-            }));
+    return view.m_instances_current && view.m_knows_all_leases &&
+           std::all_of(view.m_instances.begin(), view.m_instances.end(), [](const plan_instance& each) {
+               return each.m_has_acknowledged || each.m_cannot_use_primary;
+           });
 }
 
 }
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -165,10 +165,13 @@
     BOOST_TEST(order.m_target.m_text == "c");
 }
 
-BOOST_AUTO_TEST_CASE(a_primary_that_refuses_connections_is_replaced_without_acknowledgements) {
+/// To other instances the path may be open.
+BOOST_AUTO_TEST_CASE(a_primary_that_refuses_connections_is_not_replaced_while_an_instance_may_use_it) {
     plan_view view = switching(false);
     view.m_instances[1].m_has_acknowledged = false;
     view.m_primary_refuses_connections = true;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+    view.m_instances[1].m_has_acknowledged = true;
     BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::promote));
 }
 
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -84,13 +84,14 @@
     const int second = fleet.coordinator();
     BOOST_REQUIRE(second > 0);
     fleet.m_upstreams.crash("orders-1");
-    fleet.run_for(2500ms);
+    // The lease of the instance that was killed is awaited.
+    fleet.run_for(9000ms);
     BOOST_REQUIRE(fleet.m_upstreams.m_promotions == 1);
     restore(fleet, earlier);
     fleet.kill(second);
     fleet.m_upstreams.at("orders-1").m_down = false;
     fleet.m_upstreams.at("orders-1").m_is_primary = false;
-    fleet.run_for(7000ms);
+    fleet.run_for(14000ms);
     fleet.m_upstreams.crash(fleet.m_upstreams.at("orders-2").m_is_primary ? "orders-2" : "orders-3");
     fleet.run_for(4000ms);
     BOOST_TEST(fleet.m_upstreams.m_promotions == 2);
