Announce no primary while another promotion may still take effect

A coordinator that had ordered the promotion of one upstream saw another one lead a newer term, announced it, and its own order then took effect: two primaries, and the commits of the announced one were lost. Cause: what was ordered was kept only as a time, and only for the record's present epoch.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -2,8 +2,8 @@
 /// Computes the coordinator's next step for one group: writing the group's
 /// record, promoting a candidate, demoting an old primary, or requesting status
 /// reports. The coordinator may be replaced at any moment, so each step follows
-/// from the group's record, the upstreams' reports and the epochs that the
-/// instances have acknowledged; only the promotion in flight is kept locally.
+/// from the group's record, the upstreams' reports, the epochs that the
+/// instances have acknowledged and the promotions that may still take effect.
 ///
 /// Safety rests on one rule: a candidate is promoted, and announced to the
 /// instances as primary, only once every instance has stopped using the old
@@ -57,6 +57,8 @@
     bool m_primary_refuses_connections{false}; ///< To the coordinator: it seems not to run.
     std::uint64_t m_era{0};                    ///< Of the store; see era_number.hpp.
     steady_time m_era_seen_at{};               ///< When the coordinator first saw this era.
+    /// Upstreams whose promotion was ordered by any coordinator and may still take effect.
+    std::vector<upstream_id> m_pending_orders{};
     /// Instances that knew newer records than the store's older copy have had the time to write them.
     bool m_lost_records_written{true};
 };
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -37,6 +37,13 @@
     return view.m_coordinator_cannot_reach_primary || !view.m_coordinator_has_connections;
 }
 
+/// Returns whether an order may still make another upstream than `primary` the primary of a newer term.
+/// The commits made at `primary` until then would be lost.
+bool may_be_superseded(const plan_view& view, const upstream_id& primary) {
+    return std::any_of(view.m_pending_orders.begin(), view.m_pending_orders.end(),
+                       [&](const upstream_id& each) { return each != primary; });
+}
+
 /// Returns whether no instance can use the old primary any more. What the coordinator sees of
 /// the primary says nothing about that: other instances may have a path to it.
 bool is_old_primary_unused(const plan_view& view) {
@@ -82,6 +89,9 @@
         return plan_first_record(view, now);
     }
     if (const plan_upstream* new_primary = find_new_primary(view, now)) {
+        if (may_be_superseded(view, new_primary->m_id)) {
+            return {.m_step = plan_step::request_status};
+        }
         if (const auto fence = fence_old_primary(view, *new_primary, now)) {
             return *fence;
         }
@@ -119,7 +129,8 @@
 
 plan_order promotion_plan::plan_first_record(const plan_view& view, steady_time now) const {
     for (const plan_upstream& each : view.m_upstreams) {
-        if (view.m_lost_records_written && each.m_registered && is_fresh(each, now) && each.m_is_primary) {
+        if (view.m_lost_records_written && each.m_registered && is_fresh(each, now) && each.m_is_primary &&
+            !may_be_superseded(view, each.m_id)) {
             return {.m_step = plan_step::write_record,
                     .m_record = {.m_epoch = next_number(0, view.m_era),
                                  .m_stage = group_stage::steady,
@@ -132,7 +143,7 @@
 }
 
 plan_order promotion_plan::plan_in_new_era(const plan_view& view, steady_time now) {
-    if (!view.m_lost_records_written) {
+    if (!view.m_lost_records_written || may_be_superseded(view, view.m_record.m_primary)) {
         return {.m_step = plan_step::request_status};
     }
     const plan_upstream* primary = find(view, view.m_record.m_primary);
@@ -206,8 +217,9 @@
                                        !old_primary->m_leaving && is_fresh(*old_primary, now) &&
                                        old_primary->m_is_primary &&
                                        old_primary->m_term == view.m_record.m_term && is_reachable;
-    if (!view.m_record.m_planned && !m_promotion_ordered_at && old_primary_recovered) {
-        // No promotion was ordered yet, so keeping the old primary loses no commit.
+    if (!view.m_record.m_planned && !m_promotion_ordered_at && old_primary_recovered &&
+        !may_be_superseded(view, view.m_record.m_primary)) {
+        // No promotion can take effect, so keeping the old primary loses no commit.
         group_record record = view.m_record;
         record.m_epoch = next_number(record.m_epoch, view.m_era);
         record.m_stage = group_stage::steady;
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -7,6 +7,7 @@
 
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/group_holders.hpp"
+#include "anvilmount/decisions/promotion_orders.hpp"
 #include "anvilmount/decisions/promotion_plan.hpp"
 #include "anvilmount/decisions/store_path.hpp"
 #include "anvilmount/gateway/era_recovery.hpp"
@@ -186,6 +187,8 @@
     /// Per group, the epoch of the newest record that this instance has acknowledged.
     std::map<group_name, std::uint64_t> m_own_acknowledged_epochs;
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
+    /// Kept when the active role is lost: the orders may still take effect.
+    std::map<group_name, promotion_orders> m_orders;
     /// Version of the newest change of any record, as far as known.
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -707,6 +707,7 @@
     view.m_knows_all_leases = m_recovery.knows_all_leases();
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
+    view.m_pending_orders = m_orders[name].pending(now);
     view.m_instances = plan_members(name, view.m_record, group);
     for (const auto& [id, pool] : group.pools()) {
         plan_upstream observed = coordination.m_reports[id];
@@ -802,6 +803,7 @@
         return;
     }
     m_coordinator_write_in_flight = true;
+    m_orders[name].record(target, m_ports.m_clock->m_now());
     // The fencing token must still be the newest when the promotion is ordered.
     const store_change confirm{.m_expected = {{.m_table = members_table,
                                                .m_key = coordinator_key,
@@ -827,7 +829,10 @@
                    {"token", std::to_string(m_coordinator_record.m_token)}});
         m_metrics.count("promotions_ordered");
         m_ports.m_promote(name, target, m_options.m_name, m_coordinator_record.m_token,
-                          [this, name](promotion_result result) {
+                          [this, name, target](promotion_result result) {
+                              if (result == promotion_result::not_running) {
+                                  m_orders[name].record_refusal(target);
+                              }
                               const auto coordination = m_group_coordinations.find(name);
                               if (coordination == m_group_coordinations.end()) {
                                   return;
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -194,6 +194,31 @@
     BOOST_TEST(order.m_record.m_term == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_recovered_primary_is_not_announced_while_a_promotion_may_take_effect) {
+    plan_view view = switching(false);
+    view.m_upstreams[0].m_status_at = start;
+    view.m_coordinator_cannot_reach_primary = false;
+    view.m_pending_orders = {{"c"}};
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::promote));
+    BOOST_TEST(order.m_target.m_text == "c");
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_of_a_newer_term_is_not_announced_while_another_promotion_may_take_effect) {
+    for (const auto stage : {group_stage::switching, group_stage::steady}) {
+        plan_view view = switching(false);
+        view.m_record.m_stage = stage;
+        view.m_upstreams[1].m_is_primary = true;
+        view.m_upstreams[1].m_term = 2;
+        view.m_pending_orders = {{"b"}, {"c"}};
+        BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+        view.m_pending_orders = {{"b"}};
+        const plan_order order = promotion_plan(options).next(view, start);
+        BOOST_TEST((order.m_step == plan_step::write_record));
+        BOOST_TEST(order.m_record.m_primary.m_text == "b");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(
     without_coordinator_connections_the_other_instances_decide_that_the_primary_recovered) {
     plan_view view = switching(false);
@@ -313,6 +338,12 @@
     BOOST_TEST((promotion_plan(options).next(confirmed, start).m_step == plan_step::wait));
 }
 
+BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_is_not_written_while_a_promotion_may_take_effect) {
+    plan_view view = restored();
+    view.m_pending_orders = {{"c"}};
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
+}
+
 BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_is_not_written_while_a_newer_one_may_be_known) {
     plan_view view = restored();
     view.m_lost_records_written = false;
