Record an order of promotion before it is sent, for whoever takes over

A coordinator ordered a promotion and was stopped; its successor saw the old primary recovered, knew of no order and wrote the old primary back, which took writes while the promotion took effect. Change: the coordinator's row, which is written to confirm the fencing token before each order, names the promotions that may still take effect (additive; missing in rows of the version before). Whoever takes the role counts them from then on; a coordinator that resigns leaves them in the vacant row.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -162,6 +162,9 @@
     [[nodiscard]] int successor_rank() const;
     [[nodiscard]] bool is_active_coordinator_gone();
     void try_become_active();
+    void become_active();
+    /// Returns the coordinator record to store: the one known, with the orders that may still take effect.
+    [[nodiscard]] coordinator_record record_with_orders() const;
     void step_down();
     void coordinate_group(const group_name& name, group_service& group);
     [[nodiscard]] plan_view make_plan_view(const group_name& name, group_service& group,
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace anvilmount::gateway {
 
@@ -60,12 +61,20 @@
     auto operator<=>(const member_record&) const = default;
 };
 
+/// A promotion that was ordered, or is about to be, and may still take effect.
+struct pending_promotion {
+    group_name m_group{};
+    upstream_id m_target{};
+};
+
 /// The instance whose coordinator is active: it orders promotions. Stored data, logs and the state
 /// dump call it "steward".
 struct coordinator_record {
     std::string m_holder{};
     std::string m_incarnation{};
     std::uint64_t m_token{0}; ///< Fencing token; rises with each change of holder.
+    /// Written before an order is sent, so that whoever takes over knows of it.
+    std::vector<pending_promotion> m_pending{};
 };
 
 /// Returns the JSON text that the store keeps.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -259,7 +259,7 @@
     }
     if (renews) {
         change.m_writes.push_back(
-            {.m_table = members_table, .m_key = coordinator_key, .m_value = to_text(m_coordinator_record)});
+            {.m_table = members_table, .m_key = coordinator_key, .m_value = to_text(record_with_orders())});
     }
     m_ports.m_store->m_change(
         change, [this, now, record, renews, is_renewal = change.m_renewal.has_value()](store_answer reply) {
@@ -418,10 +418,29 @@
         step_down();
     }
     if (!m_is_active && is_own && !m_resigned && !is_before_era(record->m_token, m_recovery.era())) {
-        m_is_active = true;
+        become_active();
     }
 }
 
+void fleet_coordinator::become_active() {
+    m_is_active = true;
+    // A predecessor may have sent them until it lost the role, which is not before now.
+    for (const pending_promotion& each : m_coordinator_record.m_pending) {
+        m_orders[each.m_group].record(each.m_target, m_ports.m_clock->m_now());
+    }
+}
+
+coordinator_record fleet_coordinator::record_with_orders() const {
+    coordinator_record record = m_coordinator_record;
+    record.m_pending.clear();
+    for (const auto& [group, orders] : m_orders) {
+        for (const upstream_id& target : orders.pending(m_ports.m_clock->m_now())) {
+            record.m_pending.push_back({.m_group = group, .m_target = target});
+        }
+    }
+    return record;
+}
+
 /// Renewals do not repeat the record. If the store applied an older heartbeat late, the record there
 /// is not the one last reported, and is written again.
 void fleet_coordinator::check_own_row() {
@@ -505,7 +524,8 @@
     m_coordinator_write_in_flight = true;
     const coordinator_record claim{.m_holder = m_options.m_name,
                                    .m_incarnation = m_options.m_incarnation,
-                                   .m_token = next_number(m_coordinator_record.m_token, m_recovery.era())};
+                                   .m_token = next_number(m_coordinator_record.m_token, m_recovery.era()),
+                                   .m_pending = m_coordinator_record.m_pending};
     const store_change change{
         .m_expected = {{.m_table = members_table,
                         .m_key = coordinator_key,
@@ -517,8 +537,8 @@
             m_next_poll = m_ports.m_clock->m_now() + milliseconds{200};
             return;
         }
-        m_is_active = true;
         m_coordinator_record = claim;
+        become_active();
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
         log_event(log_level::info, "steward.took_over", {{"token", std::to_string(claim.m_token)}});
@@ -810,7 +830,7 @@
                                                .m_version = m_coordinator_version}},
                                .m_writes = {{.m_table = members_table,
                                              .m_key = coordinator_key,
-                                             .m_value = to_text(m_coordinator_record)}}};
+                                             .m_value = to_text(record_with_orders())}}};
     m_ports.m_store->m_change(confirm, [this, name, target](const store_answer& reply) {
         m_coordinator_write_in_flight = false;
         const auto found = m_group_coordinations.find(name);
@@ -864,7 +884,8 @@
     if (!m_is_active) {
         return;
     }
-    const coordinator_record vacant{.m_token = m_coordinator_record.m_token};
+    const coordinator_record vacant{.m_token = m_coordinator_record.m_token,
+                                    .m_pending = record_with_orders().m_pending};
     step_down();
     m_ports.m_store->m_change(
         {.m_expected = {{.m_table = members_table,
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -67,8 +67,14 @@
 }
 
 std::string to_text(const coordinator_record& record) {
-    return json{
-        {"holder", record.m_holder}, {"incarnation", record.m_incarnation}, {"token", record.m_token}}
+    json pending = json::array();
+    for (const pending_promotion& each : record.m_pending) {
+        pending.push_back({{"group", each.m_group.m_text}, {"upstream", each.m_target.m_text}});
+    }
+    return json{{"holder", record.m_holder},
+                {"incarnation", record.m_incarnation},
+                {"token", record.m_token},
+                {"pending", pending}}
         .dump();
 }
 
@@ -113,9 +119,15 @@
 
 std::optional<coordinator_record> parse_coordinator_record(const std::string& text) {
     return parse_record(text, [](const json& value) {
-        return coordinator_record{.m_holder = value.at("holder").get<std::string>(),
+        coordinator_record record{.m_holder = value.at("holder").get<std::string>(),
                                   .m_incarnation = value.at("incarnation").get<std::string>(),
                                   .m_token = value.at("token").get<std::uint64_t>()};
+        // Missing in rows of the version before.
+        for (const json& each : value.value("pending", json::array())) {
+            record.m_pending.push_back({.m_group = {each.at("group").get<std::string>()},
+                                        .m_target = {each.at("upstream").get<std::string>()}});
+        }
+        return record;
     });
 }
 
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -499,3 +499,38 @@
     const std::string row = fleet.m_store.value(gateway::members_table, gateway::member_prefix + "i2");
     BOOST_TEST(!gateway::parse_member_record(row)->m_acknowledged_epochs.empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_successor_does_not_go_back_to_the_old_primary_while_a_promotion_is_under_way) {
+    test::gateway_fleet fleet(3);
+    expect_writes_to_succeed(fleet, 3);
+    const int first = fleet.coordinator();
+    BOOST_REQUIRE(first > 0);
+    for (const char* instance : {"i1", "i2", "i3"}) {
+        fleet.m_upstreams.cut(instance, "orders-1");
+    }
+    std::vector<std::unique_ptr<test::test_caller>> callers;
+    for (int number = 1; number <= 3; ++number) {
+        callers.push_back(std::make_unique<test::test_caller>(fleet.instance(number), "pay"));
+        callers.back()->send(kind::write, "WRITE 2 b");
+    }
+    for (int step = 0; step < 500 && fleet.m_upstreams.m_promotions == 0; ++step) {
+        fleet.run_for(10ms);
+    }
+    BOOST_REQUIRE(fleet.m_upstreams.m_promotions == 1);
+    fleet.instance(first).leave(6000ms, [] {});
+    fleet.m_upstreams.heal_paths();
+    fleet.run_for(550ms);
+    BOOST_REQUIRE(fleet.coordinator() != first);
+    const auto writes_at_old_primary = [&] {
+        return std::count_if(fleet.m_upstreams.m_runs.begin(), fleet.m_upstreams.m_runs.end(),
+                             [](const test::run_statement& each) {
+                                 return each.m_upstream == "orders-1" && each.m_text.starts_with("WRITE");
+                             });
+    };
+    const auto before = writes_at_old_primary();
+    for (int round = 0; round < 20; ++round) {
+        static_cast<void>(write_succeeds(fleet, 1 + (first + round % 2) % 3, 200ms));
+    }
+    BOOST_TEST(writes_at_old_primary() == before);
+    BOOST_TEST(write_succeeds(fleet, 1 + first % 3, 200ms));
+}
