Order a promotion on a fresh confirmation only

The coordinator confirmed its role, was frozen until its successor had ordered a promotion, and then sent its own order on the old answer.

--- a/libs/decisions/include/anvilmount/decisions/promotion_orders.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_orders.hpp
@@ -13,8 +13,8 @@
 namespace anvilmount {
 
 /// A coordinator orders a promotion only on a confirmation of its role that was requested at most this
-/// long ago. A successor counts an order as sent by then.
-constexpr milliseconds max_confirmation_age{500};
+/// long ago: less than the time after which a silent coordinator is replaced, and enough for a slow store.
+constexpr milliseconds max_confirmation_age{1500};
 
 /// An order that has not taken effect this long after it was sent never will: its connection is reset
 /// when the time to answer is over, and the platform needs some hundred milliseconds for a promotion.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -823,7 +823,8 @@
         return;
     }
     m_coordinator_write_in_flight = true;
-    m_orders[name].record(target, m_ports.m_clock->m_now());
+    const steady_time requested_at = m_ports.m_clock->m_now();
+    m_orders[name].record(target, requested_at);
     // The fencing token must still be the newest when the promotion is ordered.
     const store_change confirm{.m_expected = {{.m_table = members_table,
                                                .m_key = coordinator_key,
@@ -831,7 +832,7 @@
                                .m_writes = {{.m_table = members_table,
                                              .m_key = coordinator_key,
                                              .m_value = to_text(record_with_orders())}}};
-    m_ports.m_store->m_change(confirm, [this, name, target](const store_answer& reply) {
+    m_ports.m_store->m_change(confirm, [this, name, target, requested_at](const store_answer& reply) {
         m_coordinator_write_in_flight = false;
         const auto found = m_group_coordinations.find(name);
         if (reply.m_status != store_status::done || found == m_group_coordinations.end() || !m_is_active) {
@@ -842,7 +843,16 @@
             return;
         }
         m_coordinator_version = reply.m_version;
-        m_coordinator_changed_at = m_ports.m_clock->m_now();
+        m_coordinator_changed_at = requested_at;
+        const auto age = std::chrono::duration_cast<milliseconds>(m_ports.m_clock->m_now() - requested_at);
+        if (age > max_confirmation_age) {
+            // Another instance may have taken over since. The plan orders the promotion again.
+            log_event(log_level::warning, "steward.confirmation_too_old",
+                      {{"group", name.m_text}, {"age_ms", std::to_string(age.count())}});
+            found->second->m_plan.withdraw_promotion();
+            m_next_poll = m_ports.m_clock->m_now();
+            return;
+        }
         log_event(log_level::info, "steward.promotes",
                   {{"group", name.m_text},
                    {"upstream", target.m_text},
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -4,6 +4,8 @@
 /// may use a primary that another has replaced.
 #include "support/gateway_fleet.hpp"
 
+#include "anvilmount/gateway/fleet_membership.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -534,3 +536,30 @@
     BOOST_TEST(writes_at_old_primary() == before);
     BOOST_TEST(write_succeeds(fleet, 1 + first % 3, 200ms));
 }
+
+/// The fixture checks that no order has an older fencing token than one before.
+BOOST_AUTO_TEST_CASE(a_coordinator_that_was_frozen_after_its_confirmation_orders_nothing) {
+    test::gateway_fleet fleet(3);
+    expect_writes_to_succeed(fleet, 3);
+    const std::string frozen = "i" + std::to_string(fleet.coordinator());
+    bool was_confirmed = false;
+    fleet.m_store.m_answer_delay = [&](const std::string& client, const gateway::store_change& change) {
+        const bool confirms = client == frozen && change.m_writes.size() == 1 &&
+                              change.m_writes.front().m_key == gateway::coordinator_key;
+        if (!confirms || was_confirmed) {
+            return 0ms;
+        }
+        was_confirmed = true;
+        fleet.m_store.m_refused_clients = {frozen};
+        fleet.m_isolated = {frozen};
+        return 20000ms;
+    };
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(18000ms);
+    BOOST_REQUIRE(was_confirmed);
+    BOOST_REQUIRE(fleet.m_token_holders.size() == 1U);
+    BOOST_TEST(fleet.m_token_holders.begin()->second != frozen);
+    const int promotions = fleet.m_upstreams.m_promotions;
+    fleet.run_for(4000ms);
+    BOOST_TEST(fleet.m_upstreams.m_promotions == promotions);
+}
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -163,9 +163,10 @@
             !what.m_writes.empty() && (what.m_writes.front().m_key.starts_with("member/") ||
                                        what.m_writes.front().m_key.starts_with("renewals/"));
         const bool late = heartbeat && m_slow_heartbeat_clients.contains(name);
-        m_clock.after(late ? late_answer_time : answer_time, [done, version = current_version()] {
-            done({.m_status = store_status::done, .m_version = version});
-        });
+        m_clock.after((late ? late_answer_time : answer_time) + m_answer_delay(name, what),
+                      [done, version = current_version()] {
+                          done({.m_status = store_status::done, .m_version = version});
+                      });
     }
     answer_waiters();
 }
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -8,6 +8,7 @@
 
 #include "anvilmount/gateway/ports.hpp"
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -46,8 +47,11 @@
     std::set<std::string> m_refused_clients; ///< These clients are refused.
     bool m_loses_change_answers{false};
     std::set<std::string> m_slow_heartbeat_clients; ///< These clients' heartbeats are answered late.
-    std::size_t m_max_watch_rows{1000};             ///< Longer answers of a watch end in a timeout.
-    bool m_silent_watches{false};                   ///< Watches get no answer.
+    /// Returns by how much later than usual a change that was made for a client is answered.
+    std::function<milliseconds(const std::string& client, const gateway::store_change& change)>
+        m_answer_delay{[](const auto&, const auto&) { return milliseconds{0}; }};
+    std::size_t m_max_watch_rows{1000}; ///< Longer answers of a watch end in a timeout.
+    bool m_silent_watches{false};       ///< Watches get no answer.
     /// An earlier snapshot, from which one client is answered, as if another instance had cached it.
     struct kept_snapshot {
         std::string m_client{};
