Reset the connection of a request that is given up

Closing left the bytes that the kernel had accepted to be sent on, through a path that comes back seconds later.

--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -54,9 +54,12 @@
     void enable_keepalive();
     void disable_keepalive();
 
-    /// Closes at once; unsent bytes are lost.
+    /// Closes at once; unsent bytes are lost. The kernel still sends those that it has accepted.
     void close();
 
+    /// Closes at once with a reset: what the peer has not received by now it never receives.
+    void reset();
+
     /// Sends the unsent bytes, shuts down the sending direction and closes after a short delay. Closing a
     /// socket that holds unread bytes resets the connection, which would destroy data still in transit to
     /// the peer. Nothing more is read, and no handler is called any more.
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -259,6 +259,14 @@
     m_fd = -1;
 }
 
+void tcp_stream::reset() {
+    if (m_fd >= 0) {
+        const struct linger none { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+    close();
+}
+
 void tcp_stream::fail(close_reason reason) {
     close();
     if (m_handlers.m_on_closed) {
--- a/test/gateway/platform_http.cpp
+++ b/test/gateway/platform_http.cpp
@@ -116,3 +116,23 @@
     const auto client = std::make_shared<http::client>(loop.m_loop, test_address(6));
     BOOST_TEST(loop.send_and_wait(client, {.m_target = "/"})->m_body.size() == long_body.size());
 }
+
+/// Otherwise the kernel would go on sending it, and it would be carried out when nobody expects it any
+/// more.
+BOOST_AUTO_TEST_CASE(a_request_that_is_given_up_is_not_delivered_later) {
+    event_loop loop;
+    std::shared_ptr<tcp_stream> accepted;
+    std::optional<close_reason> reason;
+    const auto listener = tcp_listener::listen(loop.m_loop, test_address(7), [&](int fd) {
+        accepted = tcp_stream::adopt(loop.m_loop, fd,
+                                     {.m_on_bytes = [](std::string_view) {},
+                                      .m_on_closed = [&](close_reason seen) { reason = seen; }});
+    });
+    BOOST_REQUIRE(listener.has_value());
+    const auto client = std::make_shared<http::client>(loop.m_loop, test_address(7));
+    BOOST_TEST(!loop.send_and_wait(client, {.m_method = "POST", .m_target = "/"}, 50ms).has_value());
+    while (!reason) {
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    }
+    BOOST_TEST((*reason == close_reason::by_network));
+}
