Elect a coordinator with the first heartbeat after a restart

A fleet of more than 24 that restarted as a whole, with the store back from an older copy, had no coordinator for 10 s: an instance takes the role only when it polls the members, the first poll comes before its first heartbeat, and the next one 10 s later. A small fleet polls each 2 s. Change: the first successful heartbeat looks at once whether somebody holds the role; each successor polls again when its turn comes. gateway/restored_store, a_large_fleet_that_restarts_serves_soon_after_the_store_is_back_from_a_copy: no coordinator and no write served 2.5 s after the restart before.

--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -300,12 +300,16 @@
         m_ports.m_configuration.m_on_store_recovered();
     }
     // The records known here were the newest, and other instances know of this one.
-    m_last_heartbeat_at = sent_at;
+    const bool is_first = !std::exchange(m_last_heartbeat_at, sent_at).has_value();
     m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_recovery.era());
     if (m_is_active && renewed) {
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
     }
+    if (is_first) {
+        // In a large fleet that restarts as a whole, the next poll is seconds away.
+        try_become_active();
+    }
 }
 
 void fleet_coordinator::on_heartbeat_conflict(bool renewed, const store_answer& reply) {
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -292,3 +292,29 @@
     BOOST_TEST(stored().m_primary.m_text == newest.m_primary.m_text);
     BOOST_TEST(stored().m_term == newest.m_term);
 }
+
+BOOST_AUTO_TEST_CASE(a_large_fleet_that_restarts_serves_soon_after_the_store_is_back_from_a_copy) {
+    constexpr int instances = 30;
+    test::gateway_fleet fleet(instances);
+    const auto earlier = fleet.m_store.back_up();
+    fleet.run_for(6000ms);
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(900ms);
+    for (int number = 1; number <= instances; ++number) {
+        fleet.kill(number);
+    }
+    fleet.run_for(1100ms);
+    fleet.m_store.m_unreachable = false;
+    fleet.m_store.restore(earlier);
+    for (int number = 1; number <= instances; ++number) {
+        fleet.start(number);
+    }
+    fleet.run_for(2500ms);
+    BOOST_TEST(fleet.coordinator() > 0);
+    int served = 0;
+    for (int number = 1; number <= instances; ++number) {
+        const bool forwards = fleet.instance(number).forwarding_target("pay").has_value();
+        served += !forwards && write_succeeds(fleet, number) ? 1 : 0;
+    }
+    BOOST_TEST(served > 0);
+}
