Elect a coordinator with the first heartbeat only where the fleet is known

Two cases of gateway/fleet_faults noticed (the coordinator was another one than the order says); they pass again.

--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -306,8 +306,9 @@
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
     }
-    if (is_first) {
-        // In a large fleet that restarts as a whole, the next poll is seconds away.
+    if (is_first && m_directory.was_registered()) {
+        // In a large fleet that restarts as a whole, the next poll is seconds away. In one that starts for
+        // the first time, the order of the successors is not known yet.
         try_become_active();
     }
 }
