Remove a member's row only if it is still this process's

An instance that was stopped removed its row without a condition; the store carried the removal out seconds later and hit the row of the next process, which the others then ignored for good: a change of primary did not wait for its lease. Change: the removal names the version that this process wrote last. When the row has changed, it is removed on the version that is stored if that is this process's too (a heartbeat carried out late), and left otherwise. gateway/fleet_faults, a_deregistration_that_the_store_carries_out_late_does_not_hide_the_next_process: the next process's row was gone and 2 of 3 instances counted; both stay now.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -156,6 +156,8 @@
     void probe_unreachable_primaries() const;
     void adopt_coordinator_row();
     void check_own_row();
+    /// Removes this instance's row if it is still the one of `version`.
+    void remove_own_row(const store_version& version, bool may_retry);
     void remove_stale_renewals();
     [[nodiscard]] store_version own_acknowledged_version() const;
     /// Returns how many live instances take the active role before this one.
@@ -201,6 +203,7 @@
     bool m_heartbeat_in_flight{false};
     /// As last stored.
     std::optional<member_record> m_reported_record;
+    store_version m_own_row_version; ///< Of this process's row in the members table; unset while it has none.
     std::uint64_t m_renewal_count{0}; ///< Of heartbeats that did not repeat the record.
     steady_time m_report_whole_record_until{};
     steady_time m_next_removal{}; ///< Of stale rows in which renewals were published.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -269,6 +269,7 @@
             }
             if (reply.m_status == store_status::done) {
                 m_reported_record = record;
+                m_own_row_version = is_renewal ? m_own_row_version : reply.m_version;
             } else if (reply.m_status != store_status::conflict) {
                 m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
             }
@@ -450,6 +451,10 @@
 /// is not the one last reported, and is written again.
 void fleet_coordinator::check_own_row() {
     const auto own = m_directory.members().find(member_prefix + m_options.m_name);
+    if (own != m_directory.members().end() &&
+        own->second.m_record.m_incarnation == m_options.m_incarnation) {
+        m_own_row_version = std::max(m_own_row_version, own->second.m_version);
+    }
     const bool as_reported =
         own != m_directory.members().end() && m_reported_record == own->second.m_record;
     if (m_reported_record && !as_reported) {
@@ -916,13 +921,32 @@
 
 void fleet_coordinator::deregister() {
     m_deregistered = true;
-    m_ports.m_store->m_change(
-        {.m_removals = {{.m_table = members_table, .m_key = member_prefix + m_options.m_name}}},
-        [](const store_answer& reply) {
-            if (reply.m_status != store_status::done) {
-                log_event(log_level::warning, "member.row_not_removed");
-            }
-        });
+    if (m_own_row_version.is_set()) {
+        remove_own_row(m_own_row_version, true);
+    }
+}
+
+void fleet_coordinator::remove_own_row(const store_version& version, bool may_retry) {
+    const store_row row{
+        .m_table = members_table, .m_key = member_prefix + m_options.m_name, .m_version = version};
+    m_ports.m_store->m_change({.m_expected = {row}, .m_removals = {row}},
+                              [this, row, may_retry](const store_answer& reply) {
+                                  if (reply.m_status == store_status::done) {
+                                      return;
+                                  }
+                                  log_event(log_level::warning, "member.row_not_removed",
+                                            {{"known_version", to_string(row.m_version)},
+                                             {"store_version", to_string(reply.m_version)}});
+                                  for (const store_row& stored : reply.m_rows) {
+                                      // An earlier heartbeat may have been stored late. The row of another
+                                      // process stays.
+                                      const auto record = parse_member_record(stored.m_value);
+                                      if (may_retry && stored.m_key == row.m_key && record &&
+                                          record->m_incarnation == m_options.m_incarnation) {
+                                          remove_own_row(stored.m_version, false);
+                                      }
+                                  }
+                              });
 }
 
 }
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -563,3 +563,28 @@
     fleet.run_for(4000ms);
     BOOST_TEST(fleet.m_upstreams.m_promotions == promotions);
 }
+
+BOOST_AUTO_TEST_CASE(a_deregistration_that_the_store_carries_out_late_does_not_hide_the_next_process) {
+    test::gateway_fleet fleet(3);
+    const int coordinator = fleet.coordinator();
+    const int restarted = coordinator == 1 ? 2 : 1;
+    fleet.m_store.m_change_delay = [](const std::string&, const gateway::store_change& change) {
+        return change.m_removals.empty() ? 0ms : 4000ms;
+    };
+    bool ended = false;
+    fleet.instance(restarted).leave(6000ms, [&] { ended = true; });
+    for (int step = 0; step < 1000 && !ended; ++step) {
+        fleet.run_for(10ms);
+    }
+    BOOST_REQUIRE(ended);
+    fleet.kill(restarted);
+    fleet.start(restarted);
+    fleet.run_for(3000ms);
+    const std::string row = gateway::member_prefix + "i" + std::to_string(restarted);
+    const std::string registered = fleet.m_store.value(gateway::members_table, row);
+    BOOST_REQUIRE(!registered.empty());
+    fleet.run_for(1500ms);
+    BOOST_TEST(fleet.m_store.value(gateway::members_table, row) == registered);
+    fleet.run_for(6000ms);
+    BOOST_TEST(fleet.instance(coordinator).state_dump()["instances"].get<int>() == 3);
+}
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -128,6 +128,15 @@
     if (apply_fault(name, done)) {
         return;
     }
+    if (const milliseconds delay = m_change_delay(name, what); delay.count() > 0) {
+        m_clock.after(delay, [this, name, what, done] { apply_change(name, what, done); });
+    } else {
+        apply_change(name, what, done);
+    }
+}
+
+void fake_store::apply_change(const std::string& name, const gateway::store_change& what,
+                              const gateway::store_callback& done) {
     store_answer conflict{.m_status = store_status::conflict, .m_version = current_version()};
     bool matches = true;
     for (const gateway::store_row& row : what.m_expected) {
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -50,6 +50,9 @@
     /// Returns by how much later than usual a change that was made for a client is answered.
     std::function<milliseconds(const std::string& client, const gateway::store_change& change)>
         m_answer_delay{[](const auto&, const auto&) { return milliseconds{0}; }};
+    /// Returns how long after its request a change is made and answered, on its conditions of then.
+    std::function<milliseconds(const std::string& client, const gateway::store_change& change)>
+        m_change_delay{[](const auto&, const auto&) { return milliseconds{0}; }};
     std::size_t m_max_watch_rows{1000}; ///< Longer answers of a watch end in a timeout.
     bool m_silent_watches{false};       ///< Watches get no answer.
     /// An earlier snapshot, from which one client is answered, as if another instance had cached it.
@@ -82,6 +85,8 @@
                       gateway::store_callback done);
     void change(const std::string& name, const gateway::store_change& what,
                 const gateway::store_callback& done);
+    void apply_change(const std::string& name, const gateway::store_change& what,
+                      const gateway::store_callback& done);
     void watch(const std::string& name, const std::string& table, const store_version& version,
                milliseconds wait, gateway::store_callback done);
     /// Returns the row as the store answers it; stored versions name no era.
