Count a process again that writes its row after it was taken for ended

What is remembered of ended processes is meant for their rows in an older copy of the store. Change: a row that was written after the departure, and after the first answer of the present era, is of a process that lives. Where the process that replaced it is known, it stays ignored: that is a late heartbeat. gateway/member_directory, a_process_whose_row_was_removed_counts_again_when_it_writes_its_row, failing before; a_late_heartbeat_of_an_ended_process_does_not_hide_the_next_one, which held before.

--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -79,11 +79,19 @@
         steady_time m_changed_at{};
     };
 
+    struct departed_process {
+        std::string m_incarnation{};
+        store_version m_at{}; ///< Of the change that removed or replaced its row.
+    };
+
     void begin_era(steady_time now);
     void remove_unlisted(const store_answer& reply);
     void remove_unregistered(steady_time now);
-    void remove(const std::string& key);
-    void record_departure(const std::string& incarnation);
+    void remove(const std::string& key, const store_version& version);
+    void record_departure(const std::string& incarnation, const store_version& version);
+    /// Whether `row` is one of a process that has ended. A row that was written after the departure is of a
+    /// process that lives, unless the one that replaced it is known.
+    [[nodiscard]] bool is_departed(const std::string& incarnation, const store_row& row) const;
     void apply_row(const store_row& row, steady_time now);
     void apply_member(const store_row& row, steady_time now);
     void apply_renewals(const store_row& row, steady_time now);
@@ -100,7 +108,9 @@
     /// Members known from an earlier era that have not registered in the present one. Key: row key.
     std::set<std::string> m_carried_over;
     steady_time m_carried_over_until{};
-    std::deque<std::string> m_departed; ///< Incarnations of the latest processes that left.
+    std::deque<departed_process> m_departed; ///< The latest ones.
+    store_version
+        m_era_read_from; ///< Of the first answer of the present era: later rows were written in it.
     steady_time m_read_at{};
     bool m_loaded{false};
     bool m_was_registered{false};
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -28,6 +28,7 @@
     const bool is_first = !is_loaded();
     if (reply.m_version.m_era != m_version.m_era) {
         begin_era(now);
+        m_era_read_from = reply.m_version;
     }
     m_read_at = as_of;
     if (!reply.m_is_delta) {
@@ -35,7 +36,7 @@
     }
     for (const store_row& row : reply.m_rows) {
         if (row.m_removed) {
-            remove(row.m_key);
+            remove(row.m_key, row.m_version);
         } else {
             apply_row(row, now);
         }
@@ -84,8 +85,18 @@
     }
 }
 
-void member_directory::record_departure(const std::string& incarnation) {
-    m_departed.push_back(incarnation);
+bool member_directory::is_departed(const std::string& incarnation, const store_row& row) const {
+    const auto departed =
+        std::find_if(m_departed.rbegin(), m_departed.rend(),
+                     [&](const departed_process& each) { return each.m_incarnation == incarnation; });
+    const bool is_written_since = departed != m_departed.rend() &&
+                                  row.m_version > std::max(departed->m_at, m_era_read_from) &&
+                                  !m_members.contains(row.m_key);
+    return departed != m_departed.rend() && !is_written_since;
+}
+
+void member_directory::record_departure(const std::string& incarnation, const store_version& version) {
+    m_departed.push_back({.m_incarnation = incarnation, .m_at = version});
     if (m_departed.size() > max_departed) {
         m_departed.pop_front();
     }
@@ -110,13 +121,13 @@
         unlisted.push_back(coordinator_key);
     }
     for (const std::string& key : unlisted) {
-        remove(key);
+        remove(key, reply.m_version);
     }
 }
 
-void member_directory::remove(const std::string& key) {
+void member_directory::remove(const std::string& key, const store_version& version) {
     if (const auto member = m_members.find(key); member != m_members.end()) {
-        record_departure(member->second.m_record.m_incarnation);
+        record_departure(member->second.m_record.m_incarnation, version);
         m_members.erase(member);
         m_carried_over.erase(key);
     }
@@ -156,14 +167,14 @@
         return;
     }
     const bool is_known = known != m_members.end();
-    if (std::find(m_departed.begin(), m_departed.end(), record->m_incarnation) != m_departed.end()) {
+    if (is_departed(record->m_incarnation, row)) {
         if (is_known) {
             known->second.m_version = row.m_version;
         }
         return;
     }
     if (is_known && known->second.m_record.m_incarnation != record->m_incarnation) {
-        record_departure(known->second.m_record.m_incarnation);
+        record_departure(known->second.m_record.m_incarnation, row.m_version);
     }
     m_carried_over.erase(row.m_key);
     known_member& member = m_members[row.m_key];
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -157,6 +157,29 @@
     BOOST_TEST(directory.unregistered_members().empty());
 }
 
+/// As when a change of its predecessor is carried out late.
+BOOST_AUTO_TEST_CASE(a_process_whose_row_was_removed_counts_again_when_it_writes_its_row) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2)}, 2, false), start, start);
+    store_row removed = member_row("b", 3);
+    removed.m_removed = true;
+    directory.apply(answer({removed}, 3, true), start + 1s, start + 1s);
+    BOOST_TEST(directory.members().size() == 1U);
+    directory.apply(answer({member_row("b", 4)}, 4, true), start + 2s, start + 2s);
+    BOOST_REQUIRE(directory.members().size() == 2U);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 2s));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_ended_process_does_not_hide_the_next_one) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2)}, 2, false), start, start);
+    directory.apply(answer({member_row("b", 3, "2")}, 3, true), start + 1s, start + 1s);
+    directory.apply(answer({member_row("b", 4, "1")}, 4, true), start + 2s, start + 2s);
+    BOOST_TEST(member(directory, "b").m_record.m_incarnation == "b2");
+    directory.apply(answer({member_row("b", 5, "2")}, 5, true), start + 3s, start + 3s);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 3s));
+}
+
 BOOST_AUTO_TEST_CASE(a_row_of_a_process_that_was_replaced_is_not_believed_after_a_restore) {
     gateway::member_directory directory("a");
     directory.apply(in_era(1, answer({member_row("a", 1), member_row("b", 2)}, 2, false)), start, start);
