Write a member's row again when its predecessor's heartbeat overwrote it

Change: the directory says when the row of a known member is overwritten, and the instance writes its own again. gateway/fleet_faults, an_instance_restores_its_row_after_its_predecessors_heartbeat_overwrote_it, failing before.

--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -27,6 +27,8 @@
 struct known_member {
     member_record m_record{};
     store_version m_version{}; ///< Unset while the store does not list it.
+    /// The row in the store is of a process that has ended: a change of it was carried out late.
+    bool m_row_overwritten{false};
     /// Later than the heartbeat itself by up to a poll interval, never earlier.
     steady_time m_heartbeat_seen_at{};
     /// A connection to it was refused since its last heartbeat. Its process may have ended, or only be
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -447,17 +447,15 @@
     return record;
 }
 
-/// Renewals do not repeat the record. If the store applied an older heartbeat late, the record there
-/// is not the one last reported, and is written again.
+/// Renewals do not repeat the record. If the store applied an older heartbeat late, of this process or of
+/// the one before, the record there is not the one last reported, and is written again.
 void fleet_coordinator::check_own_row() {
     const auto own = m_directory.members().find(member_prefix + m_options.m_name);
-    if (own != m_directory.members().end() &&
-        own->second.m_record.m_incarnation == m_options.m_incarnation) {
+    const bool is_listed = own != m_directory.members().end() && !own->second.m_row_overwritten;
+    if (is_listed && own->second.m_record.m_incarnation == m_options.m_incarnation) {
         m_own_row_version = std::max(m_own_row_version, own->second.m_version);
     }
-    const bool as_reported =
-        own != m_directory.members().end() && m_reported_record == own->second.m_record;
-    if (m_reported_record && !as_reported) {
+    if (m_reported_record && (!is_listed || m_reported_record != own->second.m_record)) {
         m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
     }
 }
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -170,6 +170,7 @@
     if (is_departed(record->m_incarnation, row)) {
         if (is_known) {
             known->second.m_version = row.m_version;
+            known->second.m_row_overwritten = true;
         }
         return;
     }
@@ -182,6 +183,7 @@
         is_known && member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
     member.m_record = std::move(*record);
     member.m_version = row.m_version;
+    member.m_row_overwritten = false;
     if (is_repeated) {
         // Only read once more, in a new era.
         return;
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -588,3 +588,18 @@
     fleet.run_for(6000ms);
     BOOST_TEST(fleet.instance(coordinator).state_dump()["instances"].get<int>() == 3);
 }
+
+BOOST_AUTO_TEST_CASE(an_instance_restores_its_row_after_its_predecessors_heartbeat_overwrote_it) {
+    test::gateway_fleet fleet(3);
+    const int restarted = fleet.coordinator() == 1 ? 2 : 1;
+    const std::string row = gateway::member_prefix + "i" + std::to_string(restarted);
+    const std::string predecessor = fleet.m_store.value(gateway::members_table, row);
+    fleet.kill(restarted);
+    fleet.start(restarted);
+    fleet.run_for(5000ms);
+    const std::string registered = fleet.m_store.value(gateway::members_table, row);
+    BOOST_REQUIRE(registered != predecessor);
+    fleet.m_store.put(gateway::members_table, row, predecessor);
+    fleet.run_for(4000ms);
+    BOOST_TEST(fleet.m_store.value(gateway::members_table, row) == registered);
+}
