Wait for a lease that is renewed although no row names its holder

The renewals of the living one are published under its incarnation, however. Change: member_directory counts incarnations whose published count rises and that no row names and nobody saw leave; a change of primary waits for them like for an instance that has not acknowledged. Counts that are seen for the first time are not taken for that: rows keep those of ended processes for 30 s. gateway/member_directory, two cases (new: nothing counted such a lease before).

--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -71,6 +71,10 @@
     /// is that of the row of an earlier process that stands in their place, if any.
     [[nodiscard]] std::vector<known_member> unregistered_members() const;
 
+    /// Returns how many processes have renewed a lease, less than `duration` before the newest answer,
+    /// although no row names them: theirs was overwritten by a late change.
+    [[nodiscard]] std::size_t unlisted_leases(milliseconds duration) const;
+
     /// Returns the rows of published renewals that have not changed for `duration`: the processes
     /// that wrote them no longer relay.
     [[nodiscard]] std::vector<store_row> stale_renewal_rows(milliseconds duration, steady_time now) const;
@@ -97,6 +101,7 @@
     void apply_row(const store_row& row, steady_time now);
     void apply_member(const store_row& row, steady_time now);
     void apply_renewals(const store_row& row, steady_time now);
+    void note_unlisted_lease(const std::string& incarnation, steady_time now);
 
     std::string m_own_key;
     std::map<std::string, known_member> m_members;
@@ -110,7 +115,8 @@
     /// Members known from an earlier era that have not registered in the present one. Key: row key.
     std::set<std::string> m_carried_over;
     steady_time m_carried_over_until{};
-    std::deque<departed_process> m_departed; ///< The latest ones.
+    std::map<std::string, steady_time> m_unlisted_leases; ///< Last renewal. Key: incarnation.
+    std::deque<departed_process> m_departed;              ///< The latest ones.
     store_version
         m_era_read_from; ///< Of the first answer of the present era: later rows were written in it.
     steady_time m_read_at{};
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -710,6 +710,8 @@
                            .m_cannot_reach_primary = each.m_record.m_unreachable_primaries.contains(name),
                            .m_is_alive = is_alive(each)});
     }
+    const std::size_t unlisted = m_directory.unlisted_leases(m_lease.duration() + lease_margin);
+    members.insert(members.end(), unlisted, {.m_has_connections = false, .m_is_alive = false});
     return members;
 }
 
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -42,6 +42,7 @@
         }
     }
     remove_unregistered(now);
+    std::erase_if(m_unlisted_leases, [&](const auto& each) { return now >= each.second + max_lease; });
     m_version = reply.m_version;
     m_loaded = true;
     if (is_first) {
@@ -178,6 +179,7 @@
         record_departure(known->second.m_record.m_incarnation, row.m_version);
     }
     m_carried_over.erase(row.m_key);
+    m_unlisted_leases.erase(record->m_incarnation);
     known_member& member = m_members[row.m_key];
     const bool is_repeated =
         is_known && member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
@@ -203,16 +205,44 @@
         return;
     }
     m_renewal_rows[row.m_key] = {.m_version = row.m_version, .m_changed_at = now};
+    std::set<std::string> seen_before;
+    for (const auto& [incarnation, count] : *counts) {
+        if (m_renewals.has_seen(row.m_key, incarnation)) {
+            seen_before.insert(incarnation);
+        }
+    }
     std::set<std::string> renewed;
     for (std::string& incarnation : m_renewals.observe(row.m_key, std::move(*counts))) {
         renewed.insert(std::move(incarnation));
     }
     for (auto& [key, member] : m_members) {
-        if (renewed.contains(member.m_record.m_incarnation)) {
+        if (renewed.erase(member.m_record.m_incarnation) > 0) {
             member.m_heartbeat_seen_at = now;
             member.m_refused_probe = false;
         }
     }
+    for (const std::string& incarnation : renewed) {
+        // A count that is seen for the first time may be of a process that ended long ago.
+        if (seen_before.contains(incarnation)) {
+            note_unlisted_lease(incarnation, now);
+        }
+    }
+}
+
+void member_directory::note_unlisted_lease(const std::string& incarnation, steady_time now) {
+    const bool has_departed =
+        std::any_of(m_departed.begin(), m_departed.end(),
+                    [&](const departed_process& each) { return each.m_incarnation == incarnation; });
+    if (!has_departed) {
+        log_event(log_level::warning, "member.row_overwritten", {{"incarnation", incarnation}});
+        m_unlisted_leases[incarnation] = now;
+    }
+}
+
+std::size_t member_directory::unlisted_leases(milliseconds duration) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_unlisted_leases.begin(), m_unlisted_leases.end(),
+                      [&](const auto& each) { return m_read_at < each.second + duration; }));
 }
 
 std::vector<store_row> member_directory::stale_renewal_rows(milliseconds duration, steady_time now) const {
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -157,6 +157,34 @@
     BOOST_TEST(directory.unregistered_members().empty());
 }
 
+/// A late heartbeat of "b1" overwrote the row of "b2" before this instance started.
+BOOST_AUTO_TEST_CASE(a_lease_that_is_renewed_without_a_row_is_counted) {
+    gateway::member_directory directory("a");
+    directory.apply(
+        answer({member_row("a", 1), member_row("b", 2), renewals({{"a1", 5}, {"b2", 7}}, 3)}, 3, false),
+        start, start);
+    BOOST_TEST(directory.unlisted_leases(10s) == 0U);
+    directory.apply(answer({renewals({{"a1", 6}, {"b2", 8}}, 4)}, 4, true), start + 3s, start + 3s);
+    BOOST_TEST(directory.unlisted_leases(10s) == 1U);
+    directory.apply(answer({member_row("b", 5, "2")}, 5, true), start + 6s, start + 6s);
+    BOOST_TEST(directory.unlisted_leases(10s) == 0U);
+    directory.apply(answer({renewals({{"a1", 7}, {"c1", 1}}, 6)}, 6, true), start + 7s, start + 7s);
+    directory.apply(answer({renewals({{"a1", 8}, {"c1", 2}}, 7)}, 7, true), start + 8s, start + 8s);
+    BOOST_TEST(directory.unlisted_leases(10s) == 1U);
+    directory.apply(answer({}, 8, true), start + 18s, start + 18s);
+    BOOST_TEST(directory.unlisted_leases(10s) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_last_renewal_of_a_process_that_left_is_no_lease) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1), member_row("b", 2), renewals({{"b1", 7}}, 3)}, 3, false),
+                    start, start);
+    store_row removed = member_row("b", 4);
+    removed.m_removed = true;
+    directory.apply(answer({removed, renewals({{"b1", 8}}, 5)}, 5, true), start + 1s, start + 1s);
+    BOOST_TEST(directory.unlisted_leases(10s) == 0U);
+}
+
 /// As when a change of its predecessor is carried out late.
 BOOST_AUTO_TEST_CASE(a_process_whose_row_was_removed_counts_again_when_it_writes_its_row) {
     gateway::member_directory directory("a");
