--- a/test/gateway/restore_steps.cpp
+++ b/test/gateway/restore_steps.cpp
@@ -4,6 +4,7 @@
 /// all along: acknowledged writes ran at the newest primary, an epoch has one meaning, a configuration
 /// never goes back, and within the recovery time everybody serves again at a bounded number of calls.
 #include "support/gateway_fleet.hpp"
+#include "support/primary_check.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,7 +15,6 @@
 
 using namespace anvilmount;
 using namespace std::chrono_literals;
-using kind = gateway::statement_kind;
 
 namespace {
 
@@ -74,8 +74,8 @@
             run_for(600ms);
             break;
         case 4:
-            recover_as_replica("orders-1");
-            leave_primary();
+            m_check.recover_as_replica("orders-1");
+            m_check.leave_primary();
             run_for(400ms);
             break;
         case 5:
@@ -178,30 +178,9 @@
         }
     }
 
-    /// Writes through an instance. An acknowledged write must have run at the primary of the newest term.
     bool write(int number) {
-        const std::string text = "WRITE 1 w" + std::to_string(++m_writes);
-        test::test_caller caller(m_fleet.instance(number), "pay");
-        if (!caller.is_open()) {
-            return false;
-        }
-        std::uint64_t newest_term = 0;
-        for (const char* id : {"orders-1", "orders-2", "orders-3"}) {
-            const auto& each = m_fleet.m_upstreams.at(id);
-            newest_term = std::max(newest_term, each.m_is_primary ? each.m_term : 0);
-        }
-        caller.send(kind::write, text);
-        m_fleet.run_for(150ms);
+        const bool succeeded = m_check.write(number);
         check_state();
-        const bool succeeded = !caller.m_answers.empty() && caller.m_answers[0].succeeded();
-        int runs = 0;
-        for (const auto& run : m_fleet.m_upstreams.m_runs) {
-            if (run.m_text == text) {
-                ++runs;
-                BOOST_TEST((!succeeded || m_fleet.m_upstreams.at(run.m_upstream).m_term >= newest_term));
-            }
-        }
-        BOOST_TEST(runs <= 1);
         return succeeded;
     }
 
@@ -239,32 +218,6 @@
         }
     }
 
-    [[nodiscard]] std::string newest_primary() {
-        std::string found;
-        std::uint64_t term = 0;
-        for (const char* id : {"orders-1", "orders-2", "orders-3"}) {
-            const auto& each = m_fleet.m_upstreams.at(id);
-            if (each.m_is_primary && !each.m_down && each.m_term > term) {
-                found = id;
-                term = each.m_term;
-            }
-        }
-        return found;
-    }
-
-    void recover_as_replica(const std::string& id) {
-        auto& upstream = m_fleet.m_upstreams.at(id);
-        upstream.m_down = false;
-        upstream.m_is_primary = false;
-        const std::string primary = newest_primary();
-        upstream.m_position = m_fleet.m_upstreams.at(primary).m_position;
-    }
-
-    void leave_primary() {
-        m_fleet.m_upstreams.at(newest_primary()).m_entry.m_leaving = true;
-        m_fleet.publish_registry();
-    }
-
     void apply(extra_fault fault, int backup) {
         switch (fault) {
         case extra_fault::none:
@@ -293,7 +246,7 @@
             m_fleet.m_store.restore(m_backups.at(static_cast<std::size_t>(std::max(0, backup - 1))));
             break;
         case extra_fault::primary_crashed: {
-            const std::string primary = newest_primary();
+            const std::string primary = m_check.newest_primary();
             if (!primary.empty()) {
                 m_fleet.m_upstreams.crash(primary);
             }
@@ -309,13 +262,13 @@
     }
 
     test::gateway_fleet m_fleet{3};
+    test::primary_check m_check{m_fleet};
     std::set<int> m_live{1, 2, 3};
     std::vector<std::shared_ptr<const test::fake_store::backup>> m_backups;
     std::uint64_t m_revision{0};
     std::map<int, std::uint64_t> m_revisions; ///< Newest seen at each instance since its start.
     /// Key: epoch. What the record of that epoch says.
     std::map<std::uint64_t, std::pair<std::string, bool>> m_meanings;
-    int m_writes{0};
 };
 
 }
