--- a/test/gateway/handover_steps.cpp
+++ b/test/gateway/handover_steps.cpp
@@ -24,11 +24,14 @@
 
 /// Time between two moments at which faults strike, and their number from the beginning of a change.
 constexpr milliseconds step_time{150};
-constexpr int step_count = 9;
+constexpr int step_count = 15;
 
 /// After this long all faults end, but for crashed upstreams.
 constexpr milliseconds fault_time{5000};
 
+/// Longer than it takes another coordinator to wait for a lease and to order a promotion itself.
+constexpr milliseconds late_confirmation{16000};
+
 /// From the end of the faults: a lease and its margin, a takeover, the longest wait for orders, a
 /// promotion.
 constexpr milliseconds recovery_bound{24000};
@@ -37,9 +40,10 @@
     primary_leaves,
     primary_crashes,
     primary_cut_off, ///< From all instances but one; it returns with the end of the faults.
+    primary_refuses, ///< As cut off, but connections are reset and refused.
 };
 constexpr std::array beginnings{beginning::primary_leaves, beginning::primary_crashes,
-                                beginning::primary_cut_off};
+                                beginning::primary_cut_off, beginning::primary_refuses};
 
 enum class fault {
     coordinator_killed,  ///< And started again.
@@ -51,17 +55,19 @@
     changes_late, ///< Each third change at the store is made 2.5 s later.
     change_answers_lost,
     promotion_answers_lost,
-    paths_heal, ///< A primary that was cut off is back.
+    confirmation_late, ///< The coordinator is cut off while its next order is confirmed.
+    paths_heal,        ///< A primary that was cut off is back.
 };
-constexpr std::array faults{fault::coordinator_killed,     fault::coordinator_stopped,
-                            fault::coordinator_cut_off,    fault::instance_refuses,
-                            fault::instance_killed,        fault::store_away,
-                            fault::changes_late,           fault::change_answers_lost,
-                            fault::promotion_answers_lost, fault::paths_heal};
+constexpr std::array faults{
+    fault::coordinator_killed, fault::coordinator_stopped, fault::coordinator_cut_off,
+    fault::instance_refuses,   fault::instance_killed,     fault::store_away,
+    fault::changes_late,       fault::change_answers_lost, fault::promotion_answers_lost,
+    fault::confirmation_late,  fault::paths_heal};
 
 class handover {
 public:
     void begin(beginning how) {
+        m_fleet.m_upstreams.m_promotion_time = 900ms;
         m_fleet.run_for(300ms);
         switch (how) {
         case beginning::primary_leaves:
@@ -75,6 +81,11 @@
                 m_fleet.m_upstreams.cut("i" + std::to_string(number), "orders-1");
             }
             break;
+        case beginning::primary_refuses:
+            for (int number = 1; number < instances; ++number) {
+                m_fleet.m_upstreams.refuse("i" + std::to_string(number), "orders-1");
+            }
+            break;
         }
         m_began_at = m_fleet.m_clock.now();
     }
@@ -88,7 +99,7 @@
 
     void apply(fault which) {
         const int active = m_fleet.coordinator();
-        const int other = active == 2 ? 3 : 2;
+        const int other = active == instances ? 1 : instances;
         switch (which) {
         case fault::coordinator_killed:
             restart(active);
@@ -129,6 +140,19 @@
         case fault::promotion_answers_lost:
             m_fleet.m_loses_promotion_answers = true;
             break;
+        case fault::confirmation_late:
+            m_fleet.m_store.m_answer_delay = [this, name = "i" + std::to_string(active), confirmed = false](
+                                                 const std::string& client,
+                                                 const gateway::store_change& change) mutable {
+                const bool confirms = client == name && change.m_writes.size() == 1 &&
+                                      change.m_writes.front().m_key == gateway::coordinator_key;
+                if (!confirms || std::exchange(confirmed, true)) {
+                    return 0ms;
+                }
+                cut_off(name);
+                return late_confirmation;
+            };
+            break;
         case fault::paths_heal:
             m_fleet.m_upstreams.heal_paths();
             break;
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -13,7 +13,6 @@
 
 constexpr milliseconds path_delay{1};
 constexpr milliseconds connect_time{12};
-constexpr milliseconds promotion_time{600};
 constexpr int max_connections = 21;
 
 answer refused(result_code code) {
@@ -77,7 +76,7 @@
         if (upstream.m_silent || is_cut(*made) || !made->m_events.m_on_ready) {
             return;
         }
-        if (upstream.m_down) {
+        if (upstream.m_down || m_refused_paths.contains({made->m_instance, made->m_upstream})) {
             made->m_events.m_on_connect_failed(gateway::connect_failure::refused);
             return;
         }
@@ -106,6 +105,16 @@
     }
 }
 
+void fake_upstreams::refuse(const std::string& instance, const std::string& id) {
+    m_refused_paths.insert({instance, id});
+    const std::vector<connection_ptr> open = m_connections;
+    for (const connection_ptr& each : open) {
+        if (each->m_instance == instance && each->m_upstream == id) {
+            drop(each);
+        }
+    }
+}
+
 std::function<void()> fake_upstreams::connection_closer(const std::string& instance) {
     std::vector<connection_ptr> open;
     for (const connection_ptr& each : m_connections) {
@@ -256,7 +265,7 @@
 
 void fake_upstreams::promote(const std::string& id) {
     ++m_promotions;
-    m_clock.after(promotion_time, [this, id] {
+    m_clock.after(m_promotion_time, [this, id] {
         fake_upstream& next = m_upstreams.at(id);
         std::uint64_t newest = 0;
         for (const auto& [name, each] : m_upstreams) {
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -60,7 +60,7 @@
     /// Parses the answer to a status statement; nothing if it is malformed.
     [[nodiscard]] static std::optional<gateway::upstream_status> read_status(const gateway::answer& reply);
 
-    /// Makes `id` the primary of the next term after 600 ms. The previous primary is not demoted.
+    /// Makes `id` the primary of the next term after m_promotion_time. The previous primary is not demoted.
     void promote(const std::string& id);
 
     /// Takes an upstream down and breaks its connections.
@@ -71,8 +71,14 @@
 
     /// Drops all statements and answers between an instance and an upstream.
     void cut(const std::string& instance, const std::string& id) { m_cut_paths.insert({instance, id}); }
-    void heal_paths() { m_cut_paths.clear(); }
+    /// As cut(), but connections are reset and refused.
+    void refuse(const std::string& instance, const std::string& id);
+    void heal_paths() {
+        m_cut_paths.clear();
+        m_refused_paths.clear();
+    }
 
+    milliseconds m_promotion_time{600}; ///< From an order to its effect.
     std::vector<run_statement> m_runs;
     std::vector<std::string> m_violations; ///< Protocol errors of gateways; a test expects none.
     int m_promotions{0};
@@ -112,6 +118,7 @@
     std::map<std::string, fake_upstream> m_upstreams;
     std::vector<connection_ptr> m_connections;
     std::set<std::pair<std::string, std::string>> m_cut_paths;
+    std::set<std::pair<std::string, std::string>> m_refused_paths;
     std::uint64_t m_next{1};
 };
 
