--- a/test/gateway/forwarded_sessions.cpp
+++ b/test/gateway/forwarded_sessions.cpp
@@ -3,13 +3,11 @@
 /// either changes.
 #include "line_channels.hpp"
 #include "line_codec.hpp"
+#include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
 
 #include "anvilmount/wire/tcp_listener.hpp"
 
-#include <QCoreApplication>
-#include <QEventLoop>
-
 #include <boost/test/unit_test.hpp>
 
 #include <array>
@@ -22,25 +20,10 @@
 
 namespace {
 
-struct event_loop {
-    int m_count{1};
-    std::string m_name{"test"};
-    char* m_arguments[2]{m_name.data(), nullptr};
-    QCoreApplication m_application{m_count, m_arguments};
-    reactor m_loop;
-};
-
-int test_port(int offset) {
-    const char* base = std::getenv("ANVILMOUNT_TEST_PORTS");
-    return (base == nullptr ? 20000 : std::stoi(base)) + offset;
-}
-
 /// One end of a connection whose other end is served by the code under test.
 class raw_peer {
 public:
-    explicit raw_peer(event_loop& loop) : m_loop(loop) {
-        BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, m_ends.data()) == 0);
-    }
+    raw_peer() { BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, m_ends.data()) == 0); }
     ~raw_peer() { close(m_ends[0]); }
     raw_peer(const raw_peer&) = delete;
     raw_peer& operator=(const raw_peer&) = delete;
@@ -64,7 +47,6 @@
     }
 
 private:
-    event_loop& m_loop;
     std::array<int, 2> m_ends{};
     std::string m_received;
 };
@@ -72,11 +54,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_session_forwarded_to_a_starting_instance_is_not_judged_by_an_older_configuration) {
-    event_loop loop;
+    test::event_loop loop;
     test::gateway_fleet fleet(1);
     fleet.start(2);
     BOOST_REQUIRE(!fleet.instance(2).can_open_sessions());
-    raw_peer sender(loop);
+    raw_peer sender;
     line_protocol::serve_forwarded_caller(loop.m_loop, sender.served_end(), fleet.instance(2));
     sender.write(line_protocol::encode_forwarded_greeting(test::gateway_fleet::database_of(5), 5));
     BOOST_TEST(sender.received().empty());
@@ -86,10 +68,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_configuration_that_changes_while_a_session_is_opened_does_not_refuse_it) {
-    event_loop loop;
+    test::event_loop loop;
     test::gateway_fleet fleet(1);
     fleet.start(2);
-    raw_peer sender(loop);
+    raw_peer sender;
     line_protocol::serve_forwarded_caller(loop.m_loop, sender.served_end(), fleet.instance(2));
     sender.write(line_protocol::encode_forwarded_greeting("pay", 1) + line_protocol::encode_revision(2));
     BOOST_TEST(sender.received().empty());
@@ -102,37 +84,31 @@
 BOOST_AUTO_TEST_CASE(
     a_configuration_that_changes_while_a_session_is_forwarded_is_not_sent_before_its_start) {
     constexpr int instances = 12;
-    event_loop loop;
-    test::gateway_fleet fleet(
-        instances, 1, {.m_address = "127.0.0.1", .m_port = static_cast<std::uint16_t>(test_port(0))});
+    test::event_loop loop;
+    test::gateway_fleet fleet(instances, 1, test::test_address(0));
     std::string received;
     std::vector<std::unique_ptr<tcp_listener>> listeners;
     std::vector<std::shared_ptr<tcp_stream>> streams;
     int forwarding = 0;
     for (int number = 1; number <= instances; ++number) {
-        auto listener = tcp_listener::listen(
-            loop.m_loop,
-            {.m_address = "127.0.0.1", .m_port = static_cast<std::uint16_t>(test_port(number))},
-            [&](int fd) {
-                streams.push_back(tcp_stream::adopt(
-                    loop.m_loop, fd,
-                    {.m_on_bytes = [&](std::string_view bytes) { received.append(bytes); },
-                     .m_on_closed = [](close_reason) {}}));
-            });
+        auto listener = tcp_listener::listen(loop.m_loop, test::test_address(number), [&](int fd) {
+            streams.push_back(
+                tcp_stream::adopt(loop.m_loop, fd,
+                                  {.m_on_bytes = [&](std::string_view bytes) { received.append(bytes); },
+                                   .m_on_closed = [](close_reason) {}}));
+        });
         listeners.push_back(std::move(listener.value()));
         if (fleet.instance(number).forwarding_target("pay")) {
             forwarding = number;
         }
     }
     BOOST_REQUIRE(forwarding > 0);
-    raw_peer caller(loop);
+    raw_peer caller;
     line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding));
     caller.write("START pay caller\r\n");
     QCoreApplication::processEvents(QEventLoop::AllEvents);
     fleet.m_configuration.m_revision = 2;
     fleet.instance(forwarding).adopt_configuration(fleet.m_configuration);
-    while (received.find("\r\n") == std::string::npos) {
-        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-    }
+    loop.run_until([&] { return received.find("\r\n") != std::string::npos; });
     BOOST_TEST(received.starts_with("START pay"));
 }
--- a/test/gateway/silent_paths.cpp
+++ b/test/gateway/silent_paths.cpp
@@ -2,15 +2,13 @@
 /// Connections that lose their path without a reset: each one on which an instance waits for news, or
 /// that it keeps for later, is probed by the kernel while nothing is sent.
 #include "http_channel.hpp"
+#include "support/event_loop.hpp"
 
 #include "anvilmount/wire/http2_exchange.hpp"
 #include "anvilmount/wire/http2_server.hpp"
 #include "anvilmount/wire/tcp_listener.hpp"
 #include "anvilmount/wire/tcp_stream.hpp"
 
-#include <QCoreApplication>
-#include <QEventLoop>
-
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
@@ -29,26 +27,6 @@
 /// The kernel must give up a silent path within this time: the least bound on a configuration.
 constexpr std::chrono::seconds max_detection_time{3};
 
-struct event_loop {
-    int m_count{1};
-    std::string m_name{"test"};
-    char* m_arguments[2]{m_name.data(), nullptr};
-    QCoreApplication m_application{m_count, m_arguments};
-    reactor m_loop;
-
-    void run_until(const bool& ended) {
-        while (!ended) {
-            QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
-        }
-    }
-};
-
-endpoint test_address(int offset) {
-    const char* base = std::getenv("ANVILMOUNT_TEST_PORTS");
-    const int first = base == nullptr ? 20000 : std::stoi(base);
-    return {.m_address = "127.0.0.1", .m_port = static_cast<std::uint16_t>(first + offset)};
-}
-
 int option(int fd, int level, int name) {
     int value = 0;
     socklen_t size = sizeof value;
@@ -90,32 +68,32 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_connection_to_the_store_that_goes_silent_is_noticed_while_a_watch_waits) {
-    event_loop loop;
+    test::event_loop loop;
     const auto accepted = std::make_shared<std::shared_ptr<tcp_stream>>();
     bool received = false;
-    const auto listener = tcp_listener::listen(loop.m_loop, test_address(1), [&, accepted](int fd) {
+    const auto listener = tcp_listener::listen(loop.m_loop, test::test_address(1), [&, accepted](int fd) {
         *accepted = tcp_stream::adopt(
             loop.m_loop, fd,
             {.m_on_bytes = [&](std::string_view) { received = true; }, .m_on_closed = [](close_reason) {}});
     });
     BOOST_REQUIRE(listener.has_value());
-    const auto client = std::make_shared<http::client>(loop.m_loop, test_address(1));
+    const auto client = std::make_shared<http::client>(loop.m_loop, test::test_address(1));
     client->send({.m_target = "/watch"}, default_timeout, [](const auto&) {});
-    loop.run_until(received);
-    check_probed(test_address(1));
+    loop.run_until([&] { return received; });
+    check_probed(test::test_address(1));
 }
 
 BOOST_AUTO_TEST_CASE(a_connection_to_another_instance_that_goes_silent_is_noticed_while_it_is_idle) {
-    event_loop loop;
-    const auto server = http2_server::listen(loop.m_loop, test_address(2), [](const auto& stream) {
+    test::event_loop loop;
+    const auto server = http2_server::listen(loop.m_loop, test::test_address(2), [](const auto& stream) {
         serve_request(stream, [](const http2_request&, const response_sender& respond) {
             respond({.m_status = 200, .m_body = "ok"});
         });
     });
     BOOST_REQUIRE(server.has_value());
-    http2_client client(loop.m_loop, test_address(2));
+    http2_client client(loop.m_loop, test::test_address(2));
     bool ended = false;
     client.send({.m_path = "/store"}, default_timeout, [&](const auto&) { ended = true; });
-    loop.run_until(ended);
-    check_probed(test_address(2));
+    loop.run_until([&] { return ended; });
+    check_probed(test::test_address(2));
 }
