Take in every later row of a process that counts again

Found when reading the change once more: a process that was counted again after its row had been removed stayed on the list of ended ones, so that its next rows were taken for late heartbeats: its acknowledgements were ignored, and its row counted as overwritten. gateway/member_directory, a_process_whose_row_was_removed_counts_again_when_it_writes_its_row, now with a second row: the heartbeat was not seen and the row marked before.

--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -180,6 +180,9 @@
     }
     m_carried_over.erase(row.m_key);
     m_unlisted_leases.erase(record->m_incarnation);
+    std::erase_if(m_departed, [&](const departed_process& each) {
+        return each.m_incarnation == record->m_incarnation;
+    });
     known_member& member = m_members[row.m_key];
     const bool is_repeated =
         is_known && member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -196,6 +196,9 @@
     directory.apply(answer({member_row("b", 4)}, 4, true), start + 2s, start + 2s);
     BOOST_REQUIRE(directory.members().size() == 2U);
     BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 2s));
+    directory.apply(answer({member_row("b", 5)}, 5, true), start + 3s, start + 3s);
+    BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start + 3s));
+    BOOST_TEST(!member(directory, "b").m_row_overwritten);
 }
 
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_ended_process_does_not_hide_the_next_one) {
