Share the set-up of the relay's tests, and put two comments above their members

Read once more: three cases of gateway/store_relay set up the same lost watch, and two sent the same change; the assertions stay as they are. Two member comments were broken by the formatter. No behaviour changes.

--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -203,8 +203,8 @@
     bool m_heartbeat_in_flight{false};
     /// As last stored.
     std::optional<member_record> m_reported_record;
-    store_version
-        m_own_row_version; ///< Of this process's row in the members table; unset while it has none.
+    /// Of this process's row in the members table; unset while it has none.
+    store_version m_own_row_version;
     std::uint64_t m_renewal_count{0}; ///< Of heartbeats that did not repeat the record.
     steady_time m_report_whole_record_until{};
     steady_time m_next_removal{}; ///< Of stale rows in which renewals were published.
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -117,8 +117,8 @@
     steady_time m_carried_over_until{};
     std::map<std::string, steady_time> m_unlisted_leases; ///< Last renewal. Key: incarnation.
     std::deque<departed_process> m_departed;              ///< The latest ones.
-    store_version
-        m_era_read_from; ///< Of the first answer of the present era: later rows were written in it.
+    /// Of the first answer of the present era: later rows were written in it.
+    store_version m_era_read_from;
     steady_time m_read_at{};
     bool m_loaded{false};
     bool m_was_registered{false};
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -62,6 +62,20 @@
         }
     }
 
+    /// From now on the relay's watch hears nothing. Returns the version of the row as its copy knows it.
+    store_version lose_watch() {
+        m_store.m_silent_watches = true;
+        run_for(2100ms);
+        return m_copy.known_row("a").m_version;
+    }
+
+    /// Sends a change on the condition that the row still has `version`.
+    void send_change_on(const store_version& version) {
+        send_request(gateway::store_change{
+            .m_expected = {{.m_table = "t", .m_key = "a", .m_version = version}},
+            .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
+    }
+
     void send_request(const gateway::store_question& request) {
         m_relay.serve(gateway::encode_question(request), [this](const std::optional<std::string>& bytes) {
             BOOST_REQUIRE(bytes.has_value());
@@ -629,13 +643,9 @@
 
 BOOST_AUTO_TEST_CASE(a_relay_answers_no_read_from_a_copy_that_a_refused_change_has_shown_to_be_old) {
     single_relay relay;
-    relay.m_store.m_silent_watches = true;
-    relay.run_for(2100ms);
-    const store_version known = relay.m_copy.known_row("a").m_version;
+    const store_version known = relay.lose_watch();
     relay.m_store.put("t", "a", "2");
-    relay.send_request(
-        gateway::store_change{.m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
-                              .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
+    relay.send_change_on(known);
     relay.run_for(30ms);
     BOOST_REQUIRE(relay.m_replies.size() == 1);
     BOOST_TEST((relay.m_replies[0].m_status == gateway::store_status::conflict));
@@ -648,15 +658,11 @@
 
 BOOST_AUTO_TEST_CASE(a_relay_passes_on_a_change_that_a_refused_change_has_shown_to_it) {
     single_relay relay;
-    relay.m_store.m_silent_watches = true;
-    relay.run_for(2100ms);
-    const store_version known = relay.m_copy.known_row("a").m_version;
+    const store_version known = relay.lose_watch();
     relay.send_request(
         gateway::follow_question{.m_table = "t", .m_after_version = known, .m_timeout = 1500ms});
     relay.m_store.put("t", "a", "2");
-    relay.send_request(
-        gateway::store_change{.m_expected = {{.m_table = "t", .m_key = "a", .m_version = known}},
-                              .m_writes = {{.m_table = "m", .m_key = "member/i2", .m_value = "record"}}});
+    relay.send_change_on(known);
     relay.run_for(50ms);
     BOOST_REQUIRE(relay.m_replies.size() == 2);
     BOOST_REQUIRE(relay.m_replies[1].m_rows.size() == 1);
@@ -665,9 +671,7 @@
 
 BOOST_AUTO_TEST_CASE(reads_that_meet_while_a_relays_copy_is_read_again_cost_two_calls) {
     single_relay relay;
-    relay.m_store.m_silent_watches = true;
-    relay.run_for(2100ms);
-    const store_version known = relay.m_copy.known_row("a").m_version;
+    const store_version known = relay.lose_watch();
     relay.m_store.put("t", "a", "2");
     relay.m_copy.note_stored_version({.m_era = known.m_era, .m_number = known.m_number + 1});
     const int calls = relay.m_store.m_calls;
