--- a/test/gateway/platform_settings.cpp
+++ b/test/gateway/platform_settings.cpp
@@ -45,6 +45,15 @@
     BOOST_TEST(process.m_output.find("0 to 1024 cores") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(an_advertised_host_with_a_port_is_reported_with_the_allowed_form) {
+    const std::string path = settings_file("host", valid_lines + "--advertised_host=127.0.0.2:1\n");
+    const auto process =
+        test::run_program(test::program("anvilmount-gateway"), {}, "ANVILMOUNT_BOOT=" + path);
+    BOOST_TEST(process.m_exit_code == 2);
+    BOOST_TEST(process.m_output.find("error 1601") != std::string::npos);
+    BOOST_TEST(process.m_output.find("empty or IP") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_setting_is_reported_by_name) {
     const std::string path = settings_file("unknown", valid_lines + "--colour=red\n");
     const auto process =
