Let leases outlive changes of primary in the soak

Change: instance_refused with primary_drains, and instance_silent with primary_refuses, drawn apart from the other faults so that earlier seeds keep theirs.

--- a/standins/relay/fault_relay.cpp
+++ b/standins/relay/fault_relay.cpp
@@ -4,6 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstdio>
+
 namespace standin {
 namespace {
 
@@ -12,11 +17,23 @@
 /// How often a stalled relay checks whether the stall has ended.
 constexpr milliseconds stall_poll_interval{5};
 
+/// Returns the peer's port of a connected descriptor; 0 if it is not connected any more.
+std::uint16_t client_port(int fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    return getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 ? ntohs(peer.sin_port) : 0;
 }
 
-result<void> fault_relay::start() {
+}
+
+result<void> fault_relay::listen() {
     BOOST_LEAF_ASSIGN(m_listener,
                       tcp_listener::listen(m_reactor, m_options.m_listen, [this](int fd) { accept(fd); }));
+    return {};
+}
+
+result<void> fault_relay::start() {
+    BOOST_LEAF_CHECK(listen());
     if (!m_options.m_control) {
         return {};
     }
@@ -50,6 +67,7 @@
                                         }};
     };
     m_pairs.insert(connection);
+    connection->m_client_port = client_port(fd);
     connection->m_client = tcp_stream::adopt(m_reactor, fd, handlers(false));
     connection->m_server = tcp_stream::connect(m_reactor, m_options.m_target, handlers(true));
     if (m_faults.m_cut) {
@@ -104,15 +122,29 @@
                 .m_answer_delay = delay("answer_delay_ms", m_faults.m_answer_delay),
                 .m_stall = fields.value("stall", m_faults.m_stall),
                 .m_drop_answers = fields.value("drop_answers", m_faults.m_drop_answers),
-                .m_cut = fields.value("cut", m_faults.m_cut)});
+                .m_cut = fields.value("cut", m_faults.m_cut),
+                .m_refuse = fields.value("refuse", m_faults.m_refuse)});
 }
 
 void fault_relay::set_faults(const relay_faults& faults) {
+    const bool refused = m_faults.m_refuse;
     m_faults = faults;
-    if (m_faults.m_cut) {
-        const auto pairs = m_pairs;
-        for (const pair_ptr& each : pairs) {
+    const auto pairs = m_pairs;
+    for (const pair_ptr& each : pairs) {
+        if (m_faults.m_cut) {
             close_pair(each);
+        } else if (m_faults.m_refuse && !m_faults.m_spared_client_ports.contains(each->m_client_port)) {
+            each->m_client->reset();
+            each->m_server->reset();
+            m_pairs.erase(each);
+        }
+    }
+    if (m_faults.m_refuse) {
+        m_listener.reset();
+    } else if (refused) {
+        if (const auto failed = failure_of([&] { return listen(); })) {
+            std::fprintf(stderr, "fault relay: error %d: %s\n", number_of(failed->m_code),
+                         failed->m_message.c_str());
         }
     }
 }
--- a/standins/relay/fault_relay.hpp
+++ b/standins/relay/fault_relay.hpp
@@ -6,6 +6,7 @@
 ///   {"stall":true}         forwards nothing; connections stay open
 ///   {"drop_answers":true}  forwards requests and discards bytes to the client
 ///   {"cut":true}           closes all connections, including new ones
+///   {"refuse":true}        resets all connections and listens no more, so that new ones are refused
 /// 0 or false ends the fault.
 #pragma once
 
@@ -34,6 +35,8 @@
     bool m_stall{false};
     bool m_drop_answers{false};
     bool m_cut{false};
+    bool m_refuse{false};
+    std::set<std::uint16_t> m_spared_client_ports{}; ///< Connections from these survive m_refuse.
 };
 
 class fault_relay {
@@ -59,10 +62,12 @@
         std::shared_ptr<anvilmount::tcp_stream> m_server;
         std::deque<delayed_bytes> m_to_server;
         std::deque<delayed_bytes> m_to_client;
+        std::uint16_t m_client_port{0};
     };
 
     using pair_ptr = std::shared_ptr<connection_pair>;
 
+    [[nodiscard]] anvilmount::result<void> listen();
     void accept(int fd);
     void enqueue(const pair_ptr& connection, bool to_client, std::string_view bytes);
     void forward_due(const pair_ptr& connection);
--- a/test/correctness/relay_faults.cpp
+++ b/test/correctness/relay_faults.cpp
@@ -28,6 +28,7 @@
     {"traffic stalled", R"({"stall":true})", R"({"stall":false})"},
     {"responses dropped", R"({"drop_answers":true})", R"({"drop_answers":false})"},
     {"connections cut", R"({"cut":true})", R"({"cut":false})"},
+    {"connections reset and refused", R"({"refuse":true})", R"({"refuse":false})"},
 };
 
 std::vector<std::string> caller_addresses(const fleet& all) {
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -97,7 +97,8 @@
     void start_fault(const soak_event& what) {
         const int target = what.m_target;
         const bool planned = what.m_fault == soak_fault::stop || what.m_fault == soak_fault::reload ||
-                             what.m_fault == soak_fault::configuration;
+                             what.m_fault == soak_fault::configuration ||
+                             what.m_fault == soak_fault::primary_drains;
         if (!planned) {
             m_fleet.record_fault();
         }
@@ -144,6 +145,14 @@
             return m_fleet.set_upstream_faults(target, {.m_answer_loss_rate = 0.05});
         case soak_fault::replica_lags:
             return m_fleet.set_upstream_faults(target, {.m_extra_lag = milliseconds{2000}});
+        case soak_fault::instance_refused:
+            return m_fleet.set_isolation_faults(target, {.m_refuse = true});
+        case soak_fault::instance_silent:
+            return m_fleet.set_isolation_faults(target, {.m_stall = true});
+        case soak_fault::primary_drains:
+            return m_fleet.drain_primary(target);
+        case soak_fault::primary_refuses:
+            return m_fleet.refuse_primary(target);
         case soak_fault::configuration:
             for (int number = 0; number < 3; ++number) {
                 m_loop.after(configuration_interval * number, [this] { m_fleet.change_configuration(); });
@@ -183,6 +192,15 @@
         case soak_fault::store_path_mute:
             m_fleet.set_store_path_faults(target, {});
             break;
+        case soak_fault::instance_refused:
+        case soak_fault::instance_silent:
+            m_fleet.set_isolation_faults(target, {});
+            break;
+        case soak_fault::primary_drains:
+            return m_fleet.end_drains();
+        case soak_fault::primary_refuses:
+            m_fleet.end_refusals();
+            break;
         case soak_fault::upstream_silent:
         case soak_fault::upstream_mute:
         case soak_fault::upstream_delayed:
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -4,6 +4,7 @@
 #include "soak/soak_fleet.hpp"
 
 #include "http_channel.hpp"
+#include "soak/open_ports.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,9 @@
 constexpr int gateway_ports = 120;
 constexpr int ports_per_gateway = 5;
 
+/// Gateways reach each other at this address, where relays listen in place of the gateways.
+constexpr const char* advertised_host = "127.0.0.2";
+
 enum gateway_port { callers, readiness, peers, store_relay, metrics };
 
 constexpr milliseconds process_poll_interval{50};
@@ -133,6 +137,14 @@
             m_loop, standin::relay_options{.m_listen = loopback_endpoint(store_path_ports + number),
                                            .m_target = loopback_endpoint(0)});
         BOOST_LEAF_CHECK(added.m_store_path->start());
+        for (const int offset : {readiness, peers, store_relay}) {
+            const endpoint local = gateway_address(number, offset);
+            added.m_peer_paths.push_back(std::make_unique<standin::fault_relay>(
+                m_loop,
+                standin::relay_options{.m_listen = {.m_address = advertised_host, .m_port = local.m_port},
+                                       .m_target = local}));
+            BOOST_LEAF_CHECK(added.m_peer_paths.back()->start());
+        }
         write_settings(number);
         spawn(number);
     }
@@ -151,7 +163,9 @@
     line("readiness", to_string(gateway_address(number, readiness)));
     line("peers", to_string(gateway_address(number, peers)));
     line("store_relay", to_string(gateway_address(number, store_relay)));
-    line("seeds", to_string(gateway_address(0, store_relay)));
+    line("advertised_host", advertised_host);
+    line("seeds",
+         std::string{advertised_host} + ":" + std::to_string(gateway_address(0, store_relay).m_port));
     line("metrics", to_string(gateway_address(number, metrics)));
     line("store", to_string(loopback_endpoint(store_path_ports + number)));
     line("promotion", to_string(loopback_endpoint(store_path_ports + number)));
@@ -277,6 +291,49 @@
     m_gateways[static_cast<std::size_t>(gateway)].m_store_path->set_faults(faults);
 }
 
+void soak_fleet::set_isolation_faults(int gateway, const standin::relay_faults& faults) {
+    set_store_path_faults(gateway, faults);
+    for (const gateway_process& each : m_gateways) {
+        for (const auto& path : each.m_peer_paths) {
+            path->set_faults(faults);
+        }
+    }
+}
+
+std::string soak_fleet::primary_of(int gateway) const {
+    return m_upstreams.newest_primary(group_name(gateway % m_options.m_groups));
+}
+
+void soak_fleet::drain_primary(int gateway) {
+    if (const std::string primary = primary_of(gateway); !primary.empty()) {
+        m_draining.insert(primary);
+        publish_registration(primary);
+    }
+}
+
+void soak_fleet::end_drains() {
+    for (const std::string& each : std::exchange(m_draining, {})) {
+        publish_registration(each);
+    }
+}
+
+void soak_fleet::refuse_primary(int gateway) {
+    const std::string primary = primary_of(gateway);
+    const gateway_process& spared = m_gateways[static_cast<std::size_t>(gateway)];
+    if (primary.empty() || !spared.m_process) {
+        return;
+    }
+    m_refusing_upstreams.insert(primary);
+    m_upstream_paths[static_cast<std::size_t>(upstream_number(primary))]->set_faults(
+        {.m_refuse = true, .m_spared_client_ports = open_ports(spared.m_process->id())});
+}
+
+void soak_fleet::end_refusals() {
+    for (const std::string& each : std::exchange(m_refusing_upstreams, {})) {
+        m_upstream_paths[static_cast<std::size_t>(upstream_number(each))]->set_faults({});
+    }
+}
+
 void soak_fleet::set_upstream_path_faults(int upstream, const standin::relay_faults& faults) {
     m_upstream_paths[static_cast<std::size_t>(upstream)]->set_faults(faults);
     m_path_delayed_until = std::max(m_path_delayed_until, reactor::now() + in_flight_time);
@@ -295,15 +352,18 @@
 
 /// Writes the registration of an upstream to the store, or removes it if the upstream is down.
 void soak_fleet::publish_registration(const std::string& upstream) {
-    const auto found = std::find(m_upstream_ids.begin(), m_upstream_ids.end(), upstream);
-    const int number = static_cast<int>(found - m_upstream_ids.begin());
     if (m_upstreams.is_down(upstream)) {
         m_store.drop("servers", upstream);
     } else {
-        m_store.put("servers", upstream, registration(number));
+        m_store.put("servers", upstream, registration(upstream_number(upstream)));
     }
 }
 
+int soak_fleet::upstream_number(const std::string& upstream) const {
+    const auto found = std::find(m_upstream_ids.begin(), m_upstream_ids.end(), upstream);
+    return static_cast<int>(found - m_upstream_ids.begin());
+}
+
 std::string soak_fleet::registration(int upstream) const {
     const std::string& id = m_upstream_ids[static_cast<std::size_t>(upstream)];
     return json{{"service", group_name(upstream / members_per_group)},
@@ -311,7 +371,7 @@
                 {"zone", "dc" + std::to_string(upstream % 2)},
                 {"version", "1"},
                 {"capacity", slots},
-                {"state", "ready"},
+                {"state", m_draining.contains(id) ? "draining" : "ready"},
                 {"coldRemainingMs", 0},
                 {"sequence", 1},
                 {"born", 1},
@@ -362,9 +422,8 @@
 }
 
 void soak_fleet::on_commit(const std::string& upstream, const standin::line_commit& what) {
-    const auto found = std::find(m_upstream_ids.begin(), m_upstream_ids.end(), upstream);
-    const auto number = static_cast<int>(found - m_upstream_ids.begin());
-    const std::string leader = m_upstreams.newest_primary(group_name(number / members_per_group));
+    const std::string leader =
+        m_upstreams.newest_primary(group_name(upstream_number(upstream) / members_per_group));
     const bool paused =
         std::any_of(m_gateways.begin(), m_gateways.end(), [](const auto& each) { return each.m_paused; });
     m_ledger.on_committed(what, leader != upstream, paused || reactor::now() < m_path_delayed_until);
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -48,6 +48,17 @@
     void restart_gateway(int number); ///< Does nothing if the gateway is running.
     void set_store_path_faults(int gateway, const standin::relay_faults& faults);
 
+    /// Sets the faults of the paths between a gateway and the store and of those among all gateways.
+    void set_isolation_faults(int gateway, const standin::relay_faults& faults);
+
+    /// Has the primary of the group numbered `gateway` modulo the groups replaced by plan.
+    void drain_primary(int gateway);
+    void end_drains();
+
+    /// Has that primary reset and refuse the connections of all gateways but `gateway`.
+    void refuse_primary(int gateway);
+    void end_refusals();
+
     // Faults of upstreams, numbered from 0 across all groups.
     void set_upstream_path_faults(int upstream, const standin::relay_faults& faults);
     void set_upstream_faults(int upstream, const standin::line_upstream_faults& faults);
@@ -75,6 +86,8 @@
     struct gateway_process {
         std::unique_ptr<child_process> m_process{};
         std::unique_ptr<standin::fault_relay> m_store_path{};
+        /// From the other gateways to the addresses that it advertises to them.
+        std::vector<std::unique_ptr<standin::fault_relay>> m_peer_paths{};
         bool m_paused{false};
         std::optional<anvilmount::steady_time> m_leaving_since{}; ///< When SIGTERM was sent.
     };
@@ -87,6 +100,8 @@
     void write_configuration();
     void publish_registration(const std::string& upstream);
     [[nodiscard]] std::string registration(int upstream) const;
+    [[nodiscard]] int upstream_number(const std::string& upstream) const;
+    [[nodiscard]] std::string primary_of(int gateway) const;
     void on_commit(const std::string& upstream, const standin::line_commit& what);
     void on_cut_off(int gateway, const std::string& id, anvilmount::milliseconds waited);
     [[nodiscard]] static std::string group_name(int number) { return "group" + std::to_string(number); }
@@ -100,6 +115,8 @@
     soak_environment m_environment;
     std::vector<std::string> m_upstream_ids;
     std::vector<std::unique_ptr<standin::fault_relay>> m_upstream_paths;
+    std::set<std::string> m_draining;           ///< Upstreams that are registered as draining.
+    std::set<std::string> m_refusing_upstreams; ///< Upstreams whose paths refuse.
     std::vector<gateway_process> m_gateways;
     std::vector<soak_route> m_routes;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -54,9 +54,57 @@
 constexpr std::uint32_t restore_seed_salt = 0x5e0e;
 constexpr milliseconds max_restore_interval{12000};
 
+/// What may make a lease outlive a change of primary, drawn apart for the same reason.
+constexpr std::array lease_kinds{
+    fault_kind{soak_fault::instance_refused, "instance_refused", target_kind::gateway, 0,
+               milliseconds{5500}},
+    fault_kind{soak_fault::instance_silent, "instance_silent", target_kind::gateway, 0, milliseconds{5500}},
+    fault_kind{soak_fault::primary_drains, "primary_drains", target_kind::gateway, 0, milliseconds{8000}},
+    fault_kind{soak_fault::primary_refuses, "primary_refuses", target_kind::gateway, 0, milliseconds{4500}},
+};
+constexpr std::uint32_t lease_seed_salt = 0x1ea5e;
+constexpr milliseconds first_lease_fault{1500};
+constexpr milliseconds lease_fault_interval{12000};
+constexpr milliseconds max_lease_fault_delay{4000};
+constexpr milliseconds drain_after_refusal{100};
+constexpr milliseconds refusal_after_silence{500};
+
 constexpr milliseconds min_active_time{100};
 constexpr milliseconds max_interval{2200};
 
+const fault_kind& lease_kind(soak_fault fault) {
+    return *std::find_if(lease_kinds.begin(), lease_kinds.end(),
+                         [&](const fault_kind& each) { return each.m_fault == fault; });
+}
+
+/// One gateway loses the store and the other gateways while it holds a lease, and a primary that it still
+/// reaches is replaced: by plan, or since it refuses the others.
+std::vector<soak_event> draw_lease_faults(std::uint32_t seed, const soak_size& size) {
+    std::mt19937 random(seed ^ lease_seed_salt);
+    const auto below = [&](std::int64_t limit) {
+        return std::uniform_int_distribution<std::int64_t>(0, limit - 1)(random);
+    };
+    std::vector<soak_event> events;
+    const auto add = [&](soak_fault fault, milliseconds at, int target) {
+        events.push_back({.m_at = at,
+                          .m_active_time = lease_kind(fault).m_max_active_time,
+                          .m_fault = fault,
+                          .m_target = target});
+    };
+    for (milliseconds at = first_lease_fault; at < size.m_duration;
+         at += lease_fault_interval + milliseconds{below(max_lease_fault_delay.count())}) {
+        const int gateway = static_cast<int>(below(size.m_gateways));
+        if (below(2) == 0) {
+            add(soak_fault::instance_refused, at, gateway);
+            add(soak_fault::primary_drains, at + drain_after_refusal, gateway);
+        } else {
+            add(soak_fault::instance_silent, at, gateway);
+            add(soak_fault::primary_refuses, at + refusal_after_silence, gateway);
+        }
+    }
+    return events;
+}
+
 /// Restores fall into the first half and later: at least one in a schedule of twelve seconds.
 std::vector<soak_event> draw_restores(std::uint32_t seed, const soak_size& size) {
     std::mt19937 random(seed ^ restore_seed_salt);
@@ -82,7 +130,7 @@
             return each.m_name;
         }
     }
-    return fault == restore_kind.m_fault ? restore_kind.m_name : "unknown";
+    return fault == restore_kind.m_fault ? restore_kind.m_name : lease_kind(fault).m_name;
 }
 
 std::vector<soak_event> draw_schedule(std::uint32_t seed, const soak_size& size) {
@@ -117,8 +165,9 @@
         events.push_back(
             {.m_at = at, .m_active_time = active_time, .m_fault = kind->m_fault, .m_target = target});
     }
-    const std::vector<soak_event> restores = draw_restores(seed, size);
-    events.insert(events.end(), restores.begin(), restores.end());
+    for (const auto& drawn : {draw_restores(seed, size), draw_lease_faults(seed, size)}) {
+        events.insert(events.end(), drawn.begin(), drawn.end());
+    }
     std::stable_sort(events.begin(), events.end(), [](const soak_event& left, const soak_event& right) {
         return left.m_at < right.m_at;
     });
--- a/test/soak/soak_schedule.hpp
+++ b/test/soak/soak_schedule.hpp
@@ -35,6 +35,10 @@
     replica_lags,     ///< A replica applies its log two seconds late.
     configuration,    ///< The configuration changes three times.
     store_restored,   ///< The store is away and comes back from a copy that is some seconds old.
+    instance_refused, ///< A gateway and the store, and the gateways among themselves, refuse each other.
+    instance_silent,  ///< A gateway and the store, and the gateways among themselves, hear nothing.
+    primary_drains,   ///< The primary of a group is to be replaced by plan.
+    primary_refuses,  ///< The primary of a group refuses all gateways but one.
 };
 
 /// One fault of a schedule.
@@ -42,7 +46,9 @@
     anvilmount::milliseconds m_at{0}; ///< Since the start of traffic.
     anvilmount::milliseconds m_active_time{0};
     soak_fault m_fault{};
-    int m_target{0}; ///< Number of the gateway or upstream; 0 for the store and for the whole fleet.
+    /// Number of the gateway or upstream; 0 for the store and for the whole fleet. For a primary, the
+    /// number of a gateway: the group is that number modulo the groups.
+    int m_target{0};
 };
 
 /// The fleet and the duration that a schedule is drawn for.
