Batch changes that have conditions on the rows they write

A relay joined changes of equal conditions only; heartbeats that are conditional on their own row would each have been a call. Conditions on rows that a change writes itself no longer separate it from others.

--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -51,13 +51,15 @@
 
     /// Who asked for a part of a batch.
     struct requester {
-        bool m_renews{false};
+        store_change m_change{};
         store_callback m_done{};
     };
 
-    /// Changes that are made as a whole or not at all.
+    /// Changes that are made as a whole or not at all. They share their conditions on rows that they do not
+    /// write; each has its own on the rows that it writes.
     struct change_batch {
         store_change m_change{};
+        std::vector<store_row> m_foreign_conditions{};
         std::vector<lease_renewal> m_renewals{};
         steady_time m_due{};
         std::vector<requester> m_requesters{};
@@ -102,6 +104,7 @@
                                                                    const follow_question& request);
     void change(const store_change& request, const store_callback& done);
     void send_due_batch();
+    void answer_batch(const std::vector<requester>& requesters, const store_answer& received);
     /// A change was refused: the rows that it named are in the store as `refusal` shows them.
     void note_stored_rows(const store_answer& refusal);
 
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -19,21 +19,44 @@
 constexpr milliseconds max_relayed_read_age{2500};
 
 /// The store accepts at most 100 entries in one change, conditions included.
-constexpr std::size_t max_batched_writes = 80;
+constexpr std::size_t max_batch_entries = 98;
 
-bool same_conditions(const store_change& left, const store_change& right) {
-    return std::equal(left.m_expected.begin(), left.m_expected.end(), right.m_expected.begin(),
-                      right.m_expected.end(), [](const store_row& one, const store_row& other) {
-                          return one.m_table == other.m_table && one.m_key == other.m_key &&
-                                 one.m_version == other.m_version;
+bool is_same_row(const store_row& one, const store_row& other) {
+    return one.m_table == other.m_table && one.m_key == other.m_key;
+}
+
+bool contains_row(const std::vector<store_row>& rows, const store_row& wanted) {
+    return std::any_of(rows.begin(), rows.end(),
+                       [&](const store_row& each) { return is_same_row(each, wanted); });
+}
+
+/// Returns the conditions on rows that the change does not write itself.
+std::vector<store_row> foreign_conditions(const store_change& change) {
+    std::vector<store_row> conditions;
+    std::copy_if(change.m_expected.begin(), change.m_expected.end(), std::back_inserter(conditions),
+                 [&](const store_row& each) { return !contains_row(change.m_writes, each); });
+    return conditions;
+}
+
+bool same_conditions(const std::vector<store_row>& left, const std::vector<store_row>& right) {
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [](const store_row& one, const store_row& other) {
+                          return is_same_row(one, other) && one.m_version == other.m_version;
                       });
 }
 
 bool writes_same_row(const store_change& left, const store_change& right) {
-    return std::any_of(left.m_writes.begin(), left.m_writes.end(), [&](const store_row& one) {
-        return std::any_of(right.m_writes.begin(), right.m_writes.end(), [&](const store_row& other) {
-            return one.m_table == other.m_table && one.m_key == other.m_key;
-        });
+    return std::any_of(left.m_writes.begin(), left.m_writes.end(),
+                       [&](const store_row& one) { return contains_row(right.m_writes, one); });
+}
+
+/// Whether a change would have been made on its own, where `refusal` names the rows as they are.
+bool conditions_hold(const store_change& change, const store_answer& refusal) {
+    return std::all_of(change.m_expected.begin(), change.m_expected.end(), [&](const store_row& expected) {
+        const auto stored =
+            std::find_if(refusal.m_rows.begin(), refusal.m_rows.end(),
+                         [&](const store_row& each) { return is_same_row(each, expected); });
+        return (stored == refusal.m_rows.end() ? store_version{} : stored->m_version) == expected.m_version;
     });
 }
 
@@ -243,20 +266,28 @@
         m_direct.m_change(request, done);
         return;
     }
+    const std::size_t entries = request.m_expected.size() + request.m_writes.size();
+    const std::vector<store_row> foreign = foreign_conditions(request);
     auto joined = std::find_if(m_batches.begin(), m_batches.end(), [&](const change_batch& each) {
-        return each.m_change.m_writes.size() < max_batched_writes &&
-               same_conditions(each.m_change, request) && !writes_same_row(each.m_change, request);
+        return each.m_change.m_expected.size() + each.m_change.m_writes.size() + entries <=
+                   max_batch_entries &&
+               same_conditions(each.m_foreign_conditions, foreign) &&
+               !writes_same_row(each.m_change, request);
     });
     if (joined == m_batches.end()) {
-        m_batches.push_back({.m_change = {.m_expected = request.m_expected}, .m_due = due});
+        m_batches.push_back(
+            {.m_change = {.m_expected = foreign}, .m_foreign_conditions = foreign, .m_due = due});
         joined = std::prev(m_batches.end());
     }
+    std::copy_if(request.m_expected.begin(), request.m_expected.end(),
+                 std::back_inserter(joined->m_change.m_expected),
+                 [&](const store_row& each) { return contains_row(request.m_writes, each); });
     std::copy(request.m_writes.begin(), request.m_writes.end(),
               std::back_inserter(joined->m_change.m_writes));
     if (request.m_renewal) {
         joined->m_renewals.push_back(*request.m_renewal);
     }
-    joined->m_requesters.push_back({.m_renews = request.m_renewal.has_value(), .m_done = done});
+    joined->m_requesters.push_back({.m_change = request, .m_done = done});
     joined->m_due = std::min(joined->m_due, due);
     send_due_batch();
 }
@@ -291,15 +322,32 @@
                           if (received.m_status == store_status::conflict) {
                               note_stored_rows(received);
                           }
-                          store_answer reply = received;
-                          for (const requester& each : requesters) {
-                              reply.m_renewed = each.m_renews && reply.m_status == store_status::done;
-                              each.m_done(reply);
-                          }
+                          answer_batch(requesters, received);
                           send_due_batch();
                       });
 }
 
+/// The change of one instance must not fail for another one's condition: those whose own conditions hold
+/// are sent again, without the others.
+void store_relay::answer_batch(const std::vector<requester>& requesters, const store_answer& received) {
+    const auto holds = [&](const requester& each) { return conditions_hold(each.m_change, received); };
+    const bool is_conflict = received.m_status == store_status::conflict;
+    const bool blames_some = is_conflict && !std::all_of(requesters.begin(), requesters.end(), holds);
+    for (const requester& each : requesters) {
+        if (blames_some && holds(each)) {
+            store_change again = each.m_change;
+            again.m_max_batch_delay = milliseconds{0};
+            change(again, each.m_done);
+            continue;
+        }
+        store_answer reply = received;
+        std::erase_if(reply.m_rows,
+                      [&](const store_row& row) { return !contains_row(each.m_change.m_expected, row); });
+        reply.m_renewed = each.m_change.m_renewal.has_value() && reply.m_status == store_status::done;
+        each.m_done(reply);
+    }
+}
+
 void store_relay::note_stored_rows(const store_answer& refusal) {
     for (const store_row& row : refusal.m_rows) {
         if (const auto copy = m_copies.find(row.m_table); copy != m_copies.end()) {
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -583,6 +583,51 @@
     BOOST_TEST(relay.m_store.value("m", "0").empty());
 }
 
+BOOST_AUTO_TEST_CASE(changes_with_conditions_on_their_own_rows_are_batched) {
+    single_relay relay;
+    relay.m_store.put("m", "head", "");
+    const gateway::store_row head{
+        .m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 2}};
+    const int before = relay.m_store.m_calls;
+    for (int member = 0; member < 100; ++member) {
+        const gateway::store_row own{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"};
+        relay.send_request(gateway::store_change{
+            .m_expected = {head, own}, .m_writes = {own}, .m_max_batch_delay = 100ms});
+    }
+    relay.run_for(300ms);
+    BOOST_TEST(relay.m_replies.size() == 100U);
+    for (const gateway::store_answer& each : relay.m_replies) {
+        BOOST_TEST((each.m_status == gateway::store_status::done));
+    }
+    BOOST_TEST(relay.m_store.m_calls - before <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_not_refused_for_the_condition_of_another_in_its_batch) {
+    single_relay relay;
+    relay.m_store.put("m", "head", "");
+    relay.m_store.put("m", "1", "by another");
+    const gateway::store_row head{
+        .m_table = "m", .m_key = "head", .m_version = {.m_era = 1, .m_number = 2}};
+    for (int member = 0; member < 3; ++member) {
+        const gateway::store_row own{.m_table = "m", .m_key = std::to_string(member), .m_value = "x"};
+        relay.send_request(gateway::store_change{
+            .m_expected = {head, own}, .m_writes = {own}, .m_max_batch_delay = 100ms});
+    }
+    relay.run_for(300ms);
+    BOOST_REQUIRE(relay.m_replies.size() == 3U);
+    int refused = 0;
+    for (const gateway::store_answer& each : relay.m_replies) {
+        if (each.m_status == gateway::store_status::conflict) {
+            ++refused;
+            BOOST_REQUIRE(each.m_rows.size() == 2U);
+        }
+    }
+    BOOST_TEST(refused == 1);
+    BOOST_TEST(relay.m_store.value("m", "0") == "x");
+    BOOST_TEST(relay.m_store.value("m", "1") == "by another");
+    BOOST_TEST(relay.m_store.value("m", "2") == "x");
+}
+
 BOOST_AUTO_TEST_CASE(a_relay_whose_direct_path_fails_refuses_at_once) {
     single_relay relay;
     relay.m_store.m_refused_clients = {"relay"};
