Order the processes of one instance by their registrations

A heartbeat of an ended process was carried out late and overwrote the row of the next one. An instance that started in between took the ended process for the newer one, put the living one on its list of departed ones and did not wait for its lease. Cause: incarnations are random, so that the order of arrival decided which of two processes was newer, and the write of the own row had no condition. Change: a row says when its process registered, by the store's own version with the era in front (process_order). Each write of the own row is conditional on the row that was read there. A reader that meets an earlier process keeps the one it knows, as not listed, until its lease is over; removing such a row removes nobody. A process registers anew in each era. Removed: the list of a thousand departed processes, leases without a row, the mark of an overwritten row, the repetition of the record for 10 s after an unanswered heartbeat. Logs: member.counted, member.not_counted, member.ended_process_listed (at most 16 an answer), and with each promotion for whom it waited and by which proof each other member was let go.

--- a/libs/decisions/include/anvilmount/decisions/lease_renewals.hpp
+++ b/libs/decisions/include/anvilmount/decisions/lease_renewals.hpp
@@ -45,9 +45,6 @@
     /// of a row that was not known count as changed: when they last renewed is not known.
     [[nodiscard]] std::vector<std::string> observe(const std::string& row_key, renewal_counts counts);
 
-    /// Whether the row `row_key` named `incarnation` when it was last taken in.
-    [[nodiscard]] bool has_seen(const std::string& row_key, const std::string& incarnation) const;
-
     /// Forgets a row that was removed from the store.
     void forget(const std::string& row_key) { m_rows.erase(row_key); }
 
--- a/libs/decisions/src/lease_renewals.cpp
+++ b/libs/decisions/src/lease_renewals.cpp
@@ -43,9 +43,4 @@
     return changed;
 }
 
-bool observed_renewals::has_seen(const std::string& row_key, const std::string& incarnation) const {
-    const auto known = m_rows.find(row_key);
-    return known != m_rows.end() && known->second.contains(incarnation);
-}
-
 }
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -7,6 +7,7 @@
 
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/group_holders.hpp"
+#include "anvilmount/decisions/process_order.hpp"
 #include "anvilmount/decisions/promotion_orders.hpp"
 #include "anvilmount/decisions/promotion_plan.hpp"
 #include "anvilmount/decisions/store_path.hpp"
@@ -148,16 +149,18 @@
     [[nodiscard]] std::set<group_name> unreachable_primaries() const;
     void heartbeat(milliseconds batch_delay);
     [[nodiscard]] bool has_urgent_report() const;
-    void on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply);
-    void on_heartbeat_conflict(bool renewed, const store_answer& reply);
-    [[nodiscard]] std::vector<store_row> heartbeat_conditions(bool renews) const;
+    void on_heartbeat(steady_time sent_at, bool renewed, bool wrote_record, const store_answer& reply);
+    void on_heartbeat_conflict(bool renewed, bool wrote_record, const store_answer& reply);
+    [[nodiscard]] std::vector<store_row> heartbeat_conditions(bool renews, bool writes_record) const;
+    [[nodiscard]] store_row own_row_condition() const;
     void poll_members();
     void on_members(steady_time requested_at, const store_answer& reply);
     void probe_unreachable_primaries() const;
     void adopt_coordinator_row();
+    /// Takes in the row that stands under this instance's key, if any.
+    void adopt_own_row(const store_row* row);
     void check_own_row();
-    /// Removes this instance's row if it is still the one of `version`.
-    void remove_own_row(const store_version& version, bool may_retry);
+    void remove_own_row(bool may_retry);
     void remove_stale_renewals();
     [[nodiscard]] store_version own_acknowledged_version() const;
     /// Returns how many live instances take the active role before this one.
@@ -176,6 +179,9 @@
     void request_status(group_service& group, group_coordination& coordination);
     void write_record(const group_name& name, const group_record& record);
     void promote(const group_name& name, const upstream_id& target);
+    /// Returns, for the log, on what proof each other member is not waited for (any more).
+    [[nodiscard]] std::string describe_members(const group_name& name,
+                                               const group_coordination& coordination) const;
     void demote(group_service& group, const upstream_id& target, std::uint64_t term);
     void probe(known_member& peer);
 
@@ -203,11 +209,14 @@
     bool m_heartbeat_in_flight{false};
     /// As last stored.
     std::optional<member_record> m_reported_record;
-    /// Of this process's row in the members table; unset while it has none.
+    /// Of the row under this instance's key, of whichever process; unset: there is none. Each write of it
+    /// is made on the condition that it is still this one.
     store_version m_own_row_version;
+    /// The process of that row.
+    std::optional<registered_process> m_own_row_process;
+    bool m_must_write_record{false};  ///< The row in the store may not be the one last reported.
     std::uint64_t m_renewal_count{0}; ///< Of heartbeats that did not repeat the record.
-    steady_time m_report_whole_record_until{};
-    steady_time m_next_removal{}; ///< Of stale rows in which renewals were published.
+    steady_time m_next_removal{};     ///< Of stale rows in which renewals were published.
     steady_time m_next_poll{};
     bool m_poll_in_flight{false};
     /// At least once.
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -39,6 +39,9 @@
 struct member_record {
     std::string m_name{};
     std::string m_incarnation{}; ///< New each time the instance's process starts.
+    /// When that process registered; number 0: with the change that wrote this row. Unset in rows of the
+    /// version before. See process_order.hpp.
+    std::optional<store_version> m_registration{};
     /// Probed when the process is late to renew the coordinator's role.
     endpoint m_probe_address{};
     /// Where the instance accepts sessions that other instances forward.
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -6,7 +6,9 @@
 ///
 /// When the store comes back from an older copy, rows are missing and rows of processes that have
 /// ended are back. Members known from before are kept until they had the time to register again, and
-/// a process that was seen to leave or to be replaced is never taken for alive again.
+/// a process that was seen to leave or to be replaced is never taken for alive again (process_order.hpp).
+///
+/// A line of the log says which process is counted from when on, until when, by which row and why.
 #pragma once
 
 #include "anvilmount/decisions/lease_renewals.hpp"
@@ -14,7 +16,6 @@
 #include "anvilmount/gateway/ports.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,9 +27,10 @@
 /// An instance's record, and when this instance last saw a heartbeat of it.
 struct known_member {
     member_record m_record{};
-    store_version m_version{}; ///< Unset while the store does not list it.
-    /// The row in the store is of a process that has ended: a change of it was carried out late.
-    bool m_row_overwritten{false};
+    /// Of the row under its key, which is that of an ended process while the store does not list this one;
+    /// unset when there is none.
+    store_version m_version{};
+    store_version m_registered_at{};
     /// Later than the heartbeat itself by up to a poll interval, never earlier.
     steady_time m_heartbeat_seen_at{};
     /// A connection to it was refused since its last heartbeat. Its process may have ended, or only be
@@ -67,13 +69,12 @@
     [[nodiscard]] std::uint64_t settled_era() const { return m_settled_era; }
     [[nodiscard]] const store_version& settled_era_version() const { return m_settled_era_version; }
 
-    /// Returns the members known from an earlier era that are not listed in the present one. m_version
-    /// is that of the row of an earlier process that stands in their place, if any.
+    /// Returns the members that the store does not list at present. m_version is that of the row of an
+    /// earlier process that stands in their place, if any.
     [[nodiscard]] std::vector<known_member> unregistered_members() const;
 
-    /// Returns how many processes have renewed a lease, less than `duration` before the newest answer,
-    /// although no row names them: theirs was overwritten by a late change.
-    [[nodiscard]] std::size_t unlisted_leases(milliseconds duration) const;
+    /// The row under this instance's key as last read, whichever process it is of.
+    [[nodiscard]] const std::optional<store_row>& own_row() const { return m_own_row; }
 
     /// Returns the rows of published renewals that have not changed for `duration`: the processes
     /// that wrote them no longer relay.
@@ -85,23 +86,15 @@
         steady_time m_changed_at{};
     };
 
-    struct departed_process {
-        std::string m_incarnation{};
-        store_version m_at{}; ///< Of the change that removed or replaced its row.
-    };
-
     void begin_era(steady_time now);
     void remove_unlisted(const store_answer& reply);
     void remove_unregistered(steady_time now);
     void remove(const std::string& key, const store_version& version);
-    void record_departure(const std::string& incarnation, const store_version& version);
-    /// Whether `row` is one of a process that has ended. A row that was written after the departure is of a
-    /// process that lives, unless the one that replaced it is known.
-    [[nodiscard]] bool is_departed(const std::string& incarnation, const store_row& row) const;
     void apply_row(const store_row& row, steady_time now);
     void apply_member(const store_row& row, steady_time now);
     void apply_renewals(const store_row& row, steady_time now);
-    void note_unlisted_lease(const std::string& incarnation, steady_time now);
+    void log_change(const std::string& event, const std::string& key, const known_member& member,
+                    const std::string& reason);
 
     std::string m_own_key;
     std::map<std::string, known_member> m_members;
@@ -112,13 +105,12 @@
     std::uint64_t m_settled_era{0};
     store_version m_settled_era_version; ///< Of its row.
     store_version m_version;
-    /// Members known from an earlier era that have not registered in the present one. Key: row key.
-    std::set<std::string> m_carried_over;
-    steady_time m_carried_over_until{};
-    std::map<std::string, steady_time> m_unlisted_leases; ///< Last renewal. Key: incarnation.
-    std::deque<departed_process> m_departed;              ///< The latest ones.
-    /// Of the first answer of the present era: later rows were written in it.
-    store_version m_era_read_from;
+    std::optional<store_row> m_own_row;
+    /// Members that the store does not list at present, and until when their leases may hold. Key: row key.
+    std::map<std::string, steady_time> m_carried_over;
+    /// When the last process that removed its row had registered. Key: row key.
+    std::map<std::string, store_version> m_left;
+    int m_logged_changes{0}; ///< Of the answer that is being applied.
     steady_time m_read_at{};
     bool m_loaded{false};
     bool m_was_registered{false};
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -26,10 +26,6 @@
 /// Until the first heartbeat has succeeded, nothing is served at primaries here.
 constexpr milliseconds first_heartbeat_retry_delay{100};
 
-/// The store may still apply a heartbeat that was not answered, and overwrite a newer record. For this
-/// long after it, heartbeats repeat the whole record.
-constexpr milliseconds late_change_time{10000};
-
 /// A row of published renewals that has not changed for this long, several leases, is removed.
 constexpr milliseconds stale_renewals_time{60000};
 
@@ -81,6 +77,9 @@
 /// top of the time after which a pool calls the primary silent.
 constexpr milliseconds primary_unreachable_delay{150};
 
+/// Members that are named in the log of a promotion.
+constexpr std::size_t max_named_members = 16;
+
 /// Whether `member` has acknowledged the record of `group` that has `epoch` and is stored as
 /// `record_version`.
 bool has_acknowledged(const member_record& member, const group_name& group, std::uint64_t epoch,
@@ -125,6 +124,7 @@
     m_records_head = {};
     m_coordinator_version = {};
     m_reported_record.reset();
+    adopt_own_row(nullptr);
     if (m_is_active) {
         step_down();
     }
@@ -148,7 +148,13 @@
     on_records();
 }
 
-std::vector<store_row> fleet_coordinator::heartbeat_conditions(bool renews) const {
+store_row fleet_coordinator::own_row_condition() const {
+    return {.m_table = members_table,
+            .m_key = member_prefix + m_options.m_name,
+            .m_version = m_own_row_version};
+}
+
+std::vector<store_row> fleet_coordinator::heartbeat_conditions(bool renews, bool writes_record) const {
     std::vector<store_row> conditions{
         {.m_table = members_table, .m_key = records_head_key, .m_version = m_records_head}};
     if (const auto configuration = m_ports.m_configuration.m_known()) {
@@ -158,6 +164,9 @@
         conditions.push_back(
             {.m_table = members_table, .m_key = coordinator_key, .m_version = m_coordinator_version});
     }
+    if (writes_record) {
+        conditions.push_back(own_row_condition());
+    }
     return conditions;
 }
 
@@ -246,42 +255,51 @@
         now + (m_is_active ? coordinator_renewal_interval : intervals().m_heartbeat_interval);
     const member_record record = own_record();
     const bool renews = m_is_active;
-    store_change change{.m_expected = heartbeat_conditions(renews),
+    const bool writes_record =
+        renews || m_reported_record != record || m_must_write_record || has_older_version();
+    store_change change{.m_expected = heartbeat_conditions(renews, writes_record),
                         .m_max_batch_delay = renews ? milliseconds{0} : batch_delay};
-    const bool repeats_record = now < m_report_whole_record_until || has_older_version();
-    if (!renews && m_reported_record == record && !repeats_record) {
-        change.m_renewal =
-            lease_renewal{.m_incarnation = m_options.m_incarnation, .m_count = ++m_renewal_count};
-    } else {
+    if (writes_record) {
+        member_record stored = record;
+        stored.m_registration =
+            registration_to_state(m_own_row_process, m_options.m_incarnation, m_recovery.era());
         change.m_writes.push_back({.m_table = members_table,
                                    .m_key = member_prefix + m_options.m_name,
-                                   .m_value = to_text(record)});
+                                   .m_value = to_text(stored)});
+    } else {
+        change.m_renewal =
+            lease_renewal{.m_incarnation = m_options.m_incarnation, .m_count = ++m_renewal_count};
     }
     if (renews) {
         change.m_writes.push_back(
             {.m_table = members_table, .m_key = coordinator_key, .m_value = to_text(record_with_orders())});
     }
     m_ports.m_store->m_change(
-        change, [this, now, record, renews, is_renewal = change.m_renewal.has_value()](store_answer reply) {
-            if (is_renewal && reply.m_status == store_status::done && !reply.m_renewed) {
+        change, [this, now, record, renews, writes_record, written = change.m_writes](store_answer reply) {
+            if (!writes_record && reply.m_status == store_status::done && !reply.m_renewed) {
                 // The relay is of a version that does not publish renewals.
                 reply.m_status = store_status::refused;
             }
-            if (reply.m_status == store_status::done) {
+            if (reply.m_status == store_status::done && writes_record) {
                 m_reported_record = record;
-                m_own_row_version = is_renewal ? m_own_row_version : reply.m_version;
-            } else if (reply.m_status != store_status::conflict) {
-                m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
+                m_must_write_record = false;
+                store_row stored = written.front();
+                stored.m_version = reply.m_version;
+                adopt_own_row(&stored);
+            } else if (reply.m_status != store_status::done) {
+                // It may still be made, late.
+                m_must_write_record = true;
             }
             m_coordinator_write_in_flight = m_coordinator_write_in_flight && !renews;
-            on_heartbeat(now, renews, reply);
+            on_heartbeat(now, renews, writes_record, reply);
         });
 }
 
-void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, const store_answer& reply) {
+void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, bool wrote_record,
+                                     const store_answer& reply) {
     m_heartbeat_in_flight = false;
     if (reply.m_status == store_status::conflict) {
-        on_heartbeat_conflict(renewed, reply);
+        on_heartbeat_conflict(renewed, wrote_record, reply);
         return;
     }
     if (reply.m_status != store_status::done) {
@@ -314,13 +332,18 @@
     }
 }
 
-void fleet_coordinator::on_heartbeat_conflict(bool renewed, const store_answer& reply) {
+void fleet_coordinator::on_heartbeat_conflict(bool renewed, bool wrote_record, const store_answer& reply) {
     m_next_heartbeat = m_ports.m_clock->m_now() + min_heartbeat_interval;
-    const auto version_of = [&](const std::string& table, const std::string& key) {
+    const std::string own_key = member_prefix + m_options.m_name;
+    const auto row_of = [&](const std::string& table, const std::string& key) {
         const auto found =
             std::find_if(reply.m_rows.begin(), reply.m_rows.end(),
                          [&](const store_row& row) { return row.m_table == table && row.m_key == key; });
-        return found == reply.m_rows.end() ? store_version{} : found->m_version;
+        return found == reply.m_rows.end() ? nullptr : &*found;
+    };
+    const auto version_of = [&](const std::string& table, const std::string& key) {
+        const store_row* row = row_of(table, key);
+        return row == nullptr ? store_version{} : row->m_version;
     };
     const store_version stored_records = version_of(members_table, records_head_key);
     const auto configuration = m_ports.m_configuration.m_known();
@@ -332,7 +355,12 @@
                {"copy_version", to_string(m_records.version())},
                {"known_configuration", configuration ? to_string(configuration->m_version) : "none"},
                {"stored_configuration", to_string(stored_configuration)},
+               {"known_row", to_string(m_own_row_version)},
+               {"stored_row", wrote_record ? to_string(version_of(members_table, own_key)) : "not asked"},
                {"store_version", to_string(reply.m_version)}});
+    if (wrote_record) {
+        adopt_own_row(row_of(members_table, own_key));
+    }
     m_records_head = stored_records;
     if (m_records.version() < m_records_head) {
         m_records.refresh();
@@ -447,17 +475,35 @@
     return record;
 }
 
-/// Renewals do not repeat the record. If the store applied an older heartbeat late, of this process or of
-/// the one before, the record there is not the one last reported, and is written again.
+void fleet_coordinator::adopt_own_row(const store_row* row) {
+    m_own_row_version = row == nullptr ? store_version{} : row->m_version;
+    m_own_row_process.reset();
+    if (row == nullptr) {
+        return;
+    }
+    if (const auto record = parse_member_record(row->m_value)) {
+        m_own_row_process =
+            registered_process{.m_incarnation = record->m_incarnation,
+                               .m_registered_at = registration_of(record->m_registration, row->m_version)};
+    }
+}
+
+/// Renewals do not repeat the record. If the row in the store is not the one last reported, as after a
+/// heartbeat that was made late or in a store that came back from an older copy, it is written again.
 void fleet_coordinator::check_own_row() {
-    const auto own = m_directory.members().find(member_prefix + m_options.m_name);
-    const bool is_listed = own != m_directory.members().end() && !own->second.m_row_overwritten;
-    if (is_listed && own->second.m_record.m_incarnation == m_options.m_incarnation) {
-        m_own_row_version = std::max(m_own_row_version, own->second.m_version);
+    if (m_heartbeat_in_flight || m_directory.version() < m_own_row_version) {
+        return;
+    }
+    const auto& row = m_directory.own_row();
+    adopt_own_row(row ? &*row : nullptr);
+    if (!m_reported_record) {
+        return;
     }
-    if (m_reported_record && (!is_listed || m_reported_record != own->second.m_record)) {
-        m_report_whole_record_until = m_ports.m_clock->m_now() + late_change_time;
+    auto listed = row ? parse_member_record(row->m_value) : std::nullopt;
+    if (listed) {
+        listed->m_registration.reset();
     }
+    m_must_write_record = m_must_write_record || listed != m_reported_record;
 }
 
 void fleet_coordinator::remove_stale_renewals() {
@@ -710,8 +756,6 @@
                            .m_cannot_reach_primary = each.m_record.m_unreachable_primaries.contains(name),
                            .m_is_alive = is_alive(each)});
     }
-    const std::size_t unlisted = m_directory.unlisted_leases(m_lease.duration() + lease_margin);
-    members.insert(members.end(), unlisted, {.m_has_connections = false, .m_is_alive = false});
     return members;
 }
 
@@ -824,6 +868,32 @@
         });
 }
 
+std::string fleet_coordinator::describe_members(const group_name& name,
+                                                const group_coordination& coordination) const {
+    const steady_time now = m_ports.m_clock->m_now();
+    const auto since = [&](steady_time then) {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(now - then).count()) + " ms";
+    };
+    const store_version record_version = m_records.known_row(name.m_text).m_version;
+    std::size_t acknowledged = 0;
+    std::size_t named = 0;
+    std::string expired;
+    for (const auto& [key, each] : m_directory.members()) {
+        if (each.m_record.m_name == m_options.m_name) {
+            continue;
+        }
+        if (has_acknowledged(each.m_record, name, coordination.m_observed_epoch, record_version)) {
+            ++acknowledged;
+        } else if (++named <= max_named_members) {
+            expired += ", " + each.m_record.m_name + " (" + each.m_record.m_incarnation +
+                       ") by its lease, silent for " + since(each.m_heartbeat_seen_at);
+        }
+    }
+    return since(coordination.m_epoch_observed_at) + ", " + std::to_string(acknowledged) +
+           " members by acknowledgement" + expired +
+           (named > max_named_members ? ", " + std::to_string(named - max_named_members) + " more" : "");
+}
+
 void fleet_coordinator::promote(const group_name& name, const upstream_id& target) {
     if (m_coordinator_write_in_flight) {
         // Two writes of the coordinator record would invalidate each other's condition. The plan
@@ -866,7 +936,8 @@
         log_event(log_level::info, "steward.promotes",
                   {{"group", name.m_text},
                    {"upstream", target.m_text},
-                   {"token", std::to_string(m_coordinator_record.m_token)}});
+                   {"token", std::to_string(m_coordinator_record.m_token)},
+                   {"waited_for", describe_members(name, *found->second)}});
         m_metrics.count("promotions_ordered");
         m_ports.m_promote(name, target, m_options.m_name, m_coordinator_record.m_token,
                           [this, name, target](promotion_result result) {
@@ -921,14 +992,14 @@
 
 void fleet_coordinator::deregister() {
     m_deregistered = true;
-    if (m_own_row_version.is_set()) {
-        remove_own_row(m_own_row_version, true);
-    }
+    remove_own_row(true);
 }
 
-void fleet_coordinator::remove_own_row(const store_version& version, bool may_retry) {
-    const store_row row{
-        .m_table = members_table, .m_key = member_prefix + m_options.m_name, .m_version = version};
+void fleet_coordinator::remove_own_row(bool may_retry) {
+    if (!m_own_row_process || m_own_row_process->m_incarnation != m_options.m_incarnation) {
+        return;
+    }
+    const store_row row = own_row_condition();
     m_ports.m_store->m_change({.m_expected = {row}, .m_removals = {row}},
                               [this, row, may_retry](const store_answer& reply) {
                                   if (reply.m_status == store_status::done) {
@@ -937,14 +1008,11 @@
                                   log_event(log_level::warning, "member.row_not_removed",
                                             {{"known_version", to_string(row.m_version)},
                                              {"store_version", to_string(reply.m_version)}});
-                                  for (const store_row& stored : reply.m_rows) {
-                                      // An earlier heartbeat may have been stored late. The row of another
+                                  if (may_retry && reply.m_status == store_status::conflict) {
+                                      // An earlier heartbeat may have been made late. The row of another
                                       // process stays.
-                                      const auto record = parse_member_record(stored.m_value);
-                                      if (may_retry && stored.m_key == row.m_key && record &&
-                                          record->m_incarnation == m_options.m_incarnation) {
-                                          remove_own_row(stored.m_version, false);
-                                      }
+                                      adopt_own_row(reply.m_rows.empty() ? nullptr : &reply.m_rows.front());
+                                      remove_own_row(false);
                                   }
                               });
 }
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -59,6 +59,10 @@
               {"processor_millis", record.m_processor_millis},
               {"epochs", epochs},
               {"missing", missing}};
+    if (record.m_registration) {
+        text["registered"] = record.m_registration->m_number;
+        text["registered_era"] = record.m_registration->m_era;
+    }
     if (record.m_acknowledged_version) {
         text["acknowledged"] = record.m_acknowledged_version->m_number;
         text["acknowledged_era"] = record.m_acknowledged_version->m_era;
@@ -103,6 +107,10 @@
         record.m_data_centre = {value.at("data_centre").get<std::string>()};
         record.m_leaving = value.at("leaving").get<bool>();
         record.m_processor_millis = value.value("processor_millis", std::uint32_t{0});
+        if (value.contains("registered")) {
+            record.m_registration = {.m_era = value.at("registered_era").get<std::uint64_t>(),
+                                     .m_number = value.at("registered").get<std::uint64_t>()};
+        }
         if (value.contains("acknowledged")) {
             record.m_acknowledged_version = {.m_era = value.value("acknowledged_era", std::uint64_t{0}),
                                              .m_number = value.at("acknowledged").get<std::uint64_t>()};
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -2,6 +2,7 @@
 /// Applies the rows of the members table by kind.
 #include "anvilmount/gateway/member_directory.hpp"
 
+#include "anvilmount/decisions/process_order.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -14,8 +15,8 @@
 /// Longer than any lease, its margin included.
 constexpr milliseconds max_lease{12000};
 
-/// More than the processes that end within the seconds by which a store goes back.
-constexpr std::size_t max_departed = 1024;
+/// Of one answer; when a whole fleet restarts, a line counts the rest.
+constexpr int max_logged_changes = 16;
 
 }
 
@@ -26,9 +27,9 @@
         return false;
     }
     const bool is_first = !is_loaded();
+    m_logged_changes = 0;
     if (reply.m_version.m_era != m_version.m_era) {
         begin_era(now);
-        m_era_read_from = reply.m_version;
     }
     m_read_at = as_of;
     if (!reply.m_is_delta) {
@@ -42,18 +43,23 @@
         }
     }
     remove_unregistered(now);
-    std::erase_if(m_unlisted_leases, [&](const auto& each) { return now >= each.second + max_lease; });
     m_version = reply.m_version;
     m_loaded = true;
     if (is_first) {
         m_was_registered = m_members.contains(m_own_key);
     }
+    if (m_logged_changes > max_logged_changes) {
+        log_event(log_level::info, "member.more_changes",
+                  {{"version", to_string(m_version)},
+                   {"changes", std::to_string(m_logged_changes - max_logged_changes)},
+                   {"members", std::to_string(m_members.size())}});
+    }
     return true;
 }
 
 std::vector<known_member> member_directory::unregistered_members() const {
     std::vector<known_member> members;
-    for (const std::string& key : m_carried_over) {
+    for (const auto& [key, until] : m_carried_over) {
         members.push_back(m_members.at(key));
     }
     return members;
@@ -63,9 +69,9 @@
     m_records_head = {};
     m_settled_era = 0;
     m_settled_era_version = {};
-    m_carried_over_until = now + max_lease;
+    m_own_row.reset();
     for (auto& [key, member] : m_members) {
-        m_carried_over.insert(key);
+        m_carried_over[key] = now + max_lease;
         member.m_version = {};
         // It may have renewed its lease after the last read, in a change that the store forgot.
         if (m_read_at < member.m_heartbeat_seen_at + max_lease) {
@@ -75,32 +81,31 @@
 }
 
 void member_directory::remove_unregistered(steady_time now) {
-    if (now < m_carried_over_until) {
-        return;
-    }
-    // Whoever has not registered again by now cannot use a primary any more.
-    for (const std::string& key : std::exchange(m_carried_over, {})) {
-        if (key != m_own_key) {
-            m_members.erase(key);
+    std::erase_if(m_carried_over, [&](const auto& each) {
+        const auto& [key, until] = each;
+        if (now < until) {
+            return false;
         }
-    }
-}
-
-bool member_directory::is_departed(const std::string& incarnation, const store_row& row) const {
-    const auto departed =
-        std::find_if(m_departed.rbegin(), m_departed.rend(),
-                     [&](const departed_process& each) { return each.m_incarnation == incarnation; });
-    const bool is_written_since = departed != m_departed.rend() &&
-                                  row.m_version > std::max(departed->m_at, m_era_read_from) &&
-                                  !m_members.contains(row.m_key);
-    return departed != m_departed.rend() && !is_written_since;
+        // Whoever has not registered again by now cannot use a primary any more.
+        if (const auto member = m_members.find(key); key != m_own_key && member != m_members.end()) {
+            log_change("member.not_counted", key, member->second, "not registered again");
+            m_members.erase(member);
+        }
+        return true;
+    });
 }
 
-void member_directory::record_departure(const std::string& incarnation, const store_version& version) {
-    m_departed.push_back({.m_incarnation = incarnation, .m_at = version});
-    if (m_departed.size() > max_departed) {
-        m_departed.pop_front();
+void member_directory::log_change(const std::string& event, const std::string& key,
+                                  const known_member& member, const std::string& reason) {
+    if (++m_logged_changes > max_logged_changes) {
+        return;
     }
+    log_event(log_level::info, event,
+              {{"member", key},
+               {"incarnation", member.m_record.m_incarnation},
+               {"row", to_string(member.m_version)},
+               {"registered_at", to_string(member.m_registered_at)},
+               {"reason", reason}});
 }
 
 void member_directory::remove_unlisted(const store_answer& reply) {
@@ -111,7 +116,7 @@
     std::vector<std::string> unlisted;
     const auto collect = [&](const auto& rows) {
         for (const auto& [key, row] : rows) {
-            if (!listed.contains(key) && !m_carried_over.contains(key)) {
+            if (!listed.contains(key)) {
                 unlisted.push_back(key);
             }
         }
@@ -128,9 +133,18 @@
 
 void member_directory::remove(const std::string& key, const store_version& version) {
     if (const auto member = m_members.find(key); member != m_members.end()) {
-        record_departure(member->second.m_record.m_incarnation, version);
-        m_members.erase(member);
-        m_carried_over.erase(key);
+        if (m_carried_over.contains(key)) {
+            // What was removed is the row of an ended process that stood in its place.
+            member->second.m_version = {};
+        } else {
+            log_change("member.not_counted", key, member->second,
+                       "row removed, version " + to_string(version));
+            m_left[key] = member->second.m_registered_at;
+            m_members.erase(member);
+        }
+    }
+    if (key == m_own_key) {
+        m_own_row.reset();
     }
     if (m_renewal_rows.erase(key) > 0) {
         m_renewals.forget(key);
@@ -158,8 +172,12 @@
 }
 
 void member_directory::apply_member(const store_row& row, steady_time now) {
+    if (row.m_key == m_own_key) {
+        m_own_row = row;
+    }
     const auto known = m_members.find(row.m_key);
-    if (known != m_members.end() && row.m_version <= known->second.m_version) {
+    const bool is_known = known != m_members.end();
+    if (is_known && row.m_version <= known->second.m_version) {
         return;
     }
     auto record = parse_member_record(row.m_value);
@@ -167,28 +185,43 @@
         log_event(log_level::error, "member.record_unreadable", {{"member", row.m_key}});
         return;
     }
-    const bool is_known = known != m_members.end();
-    if (is_departed(record->m_incarnation, row)) {
+    const registered_process listed{.m_incarnation = record->m_incarnation,
+                                    .m_registered_at =
+                                        registration_of(record->m_registration, row.m_version)};
+    if (record->m_registration) {
+        // Whoever writes the row back for its process must not make it a registration anew.
+        record->m_registration = listed.m_registered_at;
+    }
+    std::optional<registered_process> newest;
+    if (is_known) {
+        newest = registered_process{.m_incarnation = known->second.m_record.m_incarnation,
+                                    .m_registered_at = known->second.m_registered_at};
+    } else if (const auto left = m_left.find(row.m_key); left != m_left.end()) {
+        newest = registered_process{.m_registered_at = left->second};
+    }
+    const process_row kind = classify_row(newest, !is_known, listed);
+    if (kind == process_row::ended_process) {
         if (is_known) {
             known->second.m_version = row.m_version;
-            known->second.m_row_overwritten = true;
+            m_carried_over.emplace(row.m_key, now + max_lease);
+            log_change("member.ended_process_listed", row.m_key, known->second,
+                       "row of " + listed.m_incarnation + ", registered at " +
+                           to_string(listed.m_registered_at));
         }
         return;
     }
-    if (is_known && known->second.m_record.m_incarnation != record->m_incarnation) {
-        record_departure(known->second.m_record.m_incarnation, row.m_version);
-    }
     m_carried_over.erase(row.m_key);
-    m_unlisted_leases.erase(record->m_incarnation);
-    std::erase_if(m_departed, [&](const departed_process& each) {
-        return each.m_incarnation == record->m_incarnation;
-    });
+    m_left.erase(row.m_key);
     known_member& member = m_members[row.m_key];
-    const bool is_repeated =
-        is_known && member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
+    const bool is_repeated = kind == process_row::same_process &&
+                             member.m_version.m_era != row.m_version.m_era && member.m_record == *record;
+    const std::string replaced = member.m_record.m_incarnation;
     member.m_record = std::move(*record);
     member.m_version = row.m_version;
-    member.m_row_overwritten = false;
+    member.m_registered_at = listed.m_registered_at;
+    if (kind == process_row::next_process) {
+        log_change("member.counted", row.m_key, member, is_known ? "replaces " + replaced : "registered");
+    }
     if (is_repeated) {
         // Only read once more, in a new era.
         return;
@@ -208,46 +241,22 @@
         return;
     }
     m_renewal_rows[row.m_key] = {.m_version = row.m_version, .m_changed_at = now};
-    std::set<std::string> seen_before;
-    for (const auto& [incarnation, count] : *counts) {
-        if (m_renewals.has_seen(row.m_key, incarnation)) {
-            seen_before.insert(incarnation);
-        }
-    }
     std::set<std::string> renewed;
     for (std::string& incarnation : m_renewals.observe(row.m_key, std::move(*counts))) {
         renewed.insert(std::move(incarnation));
     }
     for (auto& [key, member] : m_members) {
-        if (renewed.erase(member.m_record.m_incarnation) > 0) {
-            member.m_heartbeat_seen_at = now;
-            member.m_refused_probe = false;
+        if (!renewed.contains(member.m_record.m_incarnation)) {
+            continue;
         }
-    }
-    for (const std::string& incarnation : renewed) {
-        // A count that is seen for the first time may be of a process that ended long ago.
-        if (seen_before.contains(incarnation)) {
-            note_unlisted_lease(incarnation, now);
+        member.m_heartbeat_seen_at = now;
+        member.m_refused_probe = false;
+        if (const auto unlisted = m_carried_over.find(key); unlisted != m_carried_over.end()) {
+            unlisted->second = now + max_lease;
         }
     }
 }
 
-void member_directory::note_unlisted_lease(const std::string& incarnation, steady_time now) {
-    const bool has_departed =
-        std::any_of(m_departed.begin(), m_departed.end(),
-                    [&](const departed_process& each) { return each.m_incarnation == incarnation; });
-    if (!has_departed) {
-        log_event(log_level::warning, "member.row_overwritten", {{"incarnation", incarnation}});
-        m_unlisted_leases[incarnation] = now;
-    }
-}
-
-std::size_t member_directory::unlisted_leases(milliseconds duration) const {
-    return static_cast<std::size_t>(
-        std::count_if(m_unlisted_leases.begin(), m_unlisted_leases.end(),
-                      [&](const auto& each) { return m_read_at < each.second + duration; }));
-}
-
 std::vector<store_row> member_directory::stale_renewal_rows(milliseconds duration, steady_time now) const {
     std::vector<store_row> stale;
     for (const auto& [key, row] : m_renewal_rows) {
