--- a/test/gateway/handover_steps.cpp
+++ b/test/gateway/handover_steps.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <iostream>
@@ -90,6 +91,32 @@
         m_began_at = m_fleet.m_clock.now();
     }
 
+    /// Restarts all instances in turn, as by SIGTERM, `gap` apart. What the processes that end still change
+    /// at the store is made `delay` later, when the next ones have registered.
+    void restart_in_turn(milliseconds gap, milliseconds delay) {
+        m_fleet.run_for(300ms);
+        for (int number = 1; number <= instances; ++number) {
+            const std::string name = "i" + std::to_string(number);
+            m_fleet.m_store.m_change_delay = [name, delay](const std::string& client, const auto& change) {
+                const bool changes_member =
+                    std::any_of(change.m_writes.begin(), change.m_writes.end(), [](const auto& row) {
+                        return row.m_key.starts_with(gateway::member_prefix);
+                    });
+                return client == name && (changes_member || !change.m_removals.empty()) ? delay : 0ms;
+            };
+            m_fleet.instance(number).leave(3000ms, [] {});
+            m_fleet.run_for(200ms);
+            m_fleet.m_store.m_change_delay = [](const auto&, const auto&) { return 0ms; };
+            restart(number);
+            m_fleet.run_for(gap);
+        }
+    }
+
+    void wait(milliseconds time) { m_fleet.run_for(time); }
+
+    /// One instance reaches callers and upstreams only, and knows of no fault.
+    void isolate(int number) { cut_off("i" + std::to_string(number)); }
+
     /// Runs until the moment `step`, with statements at all instances.
     void run_until(int step) {
         while (m_fleet.m_clock.now() < m_began_at + step_time * step) {
@@ -274,3 +301,27 @@
     }
     std::cout << "changes of primary with two faults: " << runs << "\n";
 }
+
+/// Case 5 of the review: a late change of an ended process must not hide the lease of the next one.
+BOOST_AUTO_TEST_CASE(a_change_of_primary_after_restarts_in_turn_with_late_changes) {
+    int runs = 0;
+    for (const milliseconds gap : {100ms, 400ms, 1200ms}) {
+        for (const milliseconds delay : {400ms, 1000ms, 2500ms, 4500ms}) {
+            for (const milliseconds pause : {0ms, 4000ms, 13000ms}) {
+                for (int isolated = 1; isolated <= 4; ++isolated) {
+                    BOOST_TEST_CONTEXT("gap " << gap.count() << ", delay " << delay.count() << ", pause "
+                                              << pause.count() << ", isolated " << isolated) {
+                        handover run;
+                        run.restart_in_turn(gap, delay);
+                        run.wait(pause);
+                        run.isolate(isolated);
+                        run.begin(beginning::primary_leaves);
+                        run.check_recovery();
+                        ++runs;
+                    }
+                }
+            }
+        }
+    }
+    std::cout << "changes of primary after restarts in turn: " << runs << "\n";
+}
--- a/test/support/fake_store.cpp
+++ b/test/support/fake_store.cpp
@@ -128,7 +128,11 @@
     if (apply_fault(name, done)) {
         return;
     }
-    if (const milliseconds delay = m_change_delay(name, what); delay.count() > 0) {
+    const milliseconds delay = m_change_delay(name, what);
+    if (delay > client_timeout) {
+        m_clock.after(client_timeout, [done] { done({.m_status = store_status::unknown}); });
+        m_clock.after(delay, [this, name, what] { apply_change(name, what, [](const auto&) {}); });
+    } else if (delay.count() > 0) {
         m_clock.after(delay, [this, name, what, done] { apply_change(name, what, done); });
     } else {
         apply_change(name, what, done);
--- a/test/support/fake_store.hpp
+++ b/test/support/fake_store.hpp
@@ -50,7 +50,8 @@
     /// Returns by how much later than usual a change that was made for a client is answered.
     std::function<milliseconds(const std::string& client, const gateway::store_change& change)>
         m_answer_delay{[](const auto&, const auto&) { return milliseconds{0}; }};
-    /// Returns how long after its request a change is made and answered, on its conditions of then.
+    /// Returns how long after its request a change is made, on its conditions of then, and answered if its
+    /// client has not given up by then.
     std::function<milliseconds(const std::string& client, const gateway::store_change& change)>
         m_change_delay{[](const auto&, const auto&) { return milliseconds{0}; }};
     std::size_t m_max_watch_rows{1000}; ///< Longer answers of a watch end in a timeout.
