Give a draining upstream no new work after its limit, whoever is coordinator

Two coordinators were cut off one after the other; the group's record changed only after the limit, and instances in touch went on sending statements to the draining primary. Change: drain_window, per upstream and instance: new work until a second before the limit (drain_limit_ms, from the deployment), then refused at once as not run; open transactions may end.

--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -36,6 +36,7 @@
     std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core; 0: unknown.
     milliseconds m_lease{10000};
     std::size_t m_max_sessions{3000};
+    milliseconds m_drain_limit{0}; ///< See drain_window; zero: none.
 };
 
 /// What the gateway needs of the outside.
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -7,6 +7,7 @@
 
 #include "anvilmount/decisions/admission.hpp"
 #include "anvilmount/decisions/answer_time.hpp"
+#include "anvilmount/decisions/drain_window.hpp"
 #include "anvilmount/decisions/pool_accounting.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/ports.hpp"
@@ -86,6 +87,7 @@
     int m_connections{2};   ///< Connections that this instance may open.
     int m_max_in_flight{2}; ///< Concurrent statements of this instance; the most urgent rank may exceed it.
     int m_min_idle{1};      ///< Idle connections that are kept open.
+    milliseconds m_drain_limit{0}; ///< See drain_window; fixed when the pool is made.
 };
 
 /// Runs statements at one upstream; see the file comment. Not thread-safe.
@@ -98,7 +100,9 @@
     upstream_pool& operator=(const upstream_pool&) = delete;
 
     [[nodiscard]] const upstream_entry& entry() const { return m_entry; }
-    void set_entry(const upstream_entry& entry) { m_entry = entry; }
+    void set_entry(const upstream_entry& entry);
+    /// Whether the upstream may get work outside open transactions: it is not drained.
+    [[nodiscard]] bool accepts_new_work() const { return m_drain.is_open(m_clock.m_now()); }
     void set_limits(pool_limits limits);
 
     /// Queues `work`; its m_done is called exactly once, never before submit() returns.
@@ -123,8 +127,8 @@
     /// Ends all use of the pool: the upstream has restarted or moved to another address.
     void retire();
 
-    /// Refuses all queued work as not_run.
-    void refuse_waiting(result_code code);
+    /// Refuses all queued work as not_run, but for that of open transactions if `spares_transactions`.
+    void refuse_waiting(result_code code, bool spares_transactions = false);
 
     /// Refuses work that has waited too long and times out unanswered work; to be called
     /// every few milliseconds.
@@ -202,6 +206,7 @@
 
     upstream_entry m_entry;
     pool_limits m_limits;
+    drain_window m_drain;
     const clock_port& m_clock;
     const upstream_connector& m_connector;
     metrics& m_metrics;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -159,7 +159,8 @@
                 m_fleet_coordinator.knows_members() &&
                 std::any_of(holders.begin(), holders.end(),
                             [&](const holder_candidate& each) { return each.m_name == m_options.m_name; }),
-            .m_is_coordinator = m_fleet_coordinator.is_active()};
+            .m_is_coordinator = m_fleet_coordinator.is_active(),
+            .m_drain_limit = m_options.m_drain_limit};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -43,6 +43,10 @@
 /// through a change of primary would be refused as soon as the new primary is available.
 constexpr milliseconds overdue_wait_timeout{150};
 
+bool can_run_work(const upstream_pool& pool) {
+    return !pool.failing_since() && !pool.is_wrong_upstream() && pool.accepts_new_work();
+}
+
 }
 
 group_service::group_service(group_options options, const clock_port& clock,
@@ -54,7 +58,10 @@
 
 pool_limits group_service::limits_for(const upstream_entry& entry) const {
     if (!m_options.m_has_connections) {
-        return {.m_connections = 1, .m_max_in_flight = 1, .m_min_idle = m_options.m_is_coordinator ? 1 : 0};
+        return {.m_connections = 1,
+                .m_max_in_flight = 1,
+                .m_min_idle = m_options.m_is_coordinator ? 1 : 0,
+                .m_drain_limit = m_options.m_drain_limit};
     }
     const int max_connections =
         m_slow_start_until ? 1
@@ -64,7 +71,8 @@
     const int slot_share = (entry.m_slots * in_flight_per_slot + instances - 1) / instances;
     return {.m_connections = max_connections,
             .m_max_in_flight =
-                std::clamp(std::min(max_connections, slot_share), min_concurrent, max_concurrent)};
+                std::clamp(std::min(max_connections, slot_share), min_concurrent, max_concurrent),
+            .m_drain_limit = m_options.m_drain_limit};
 }
 
 void group_service::set_options(const group_options& options) {
@@ -211,8 +219,7 @@
     const bool primary_usable = accepts_new_primary_work();
     if (item.m_request.m_placement == request_placement::primary) {
         const auto primary = primary_usable ? find_pool(m_record.m_primary) : nullptr;
-        const bool is_answering = primary && !primary->failing_since() && !primary->is_wrong_upstream();
-        return is_answering ? primary : nullptr;
+        return primary && can_run_work(*primary) ? primary : nullptr;
     }
     min_position = min_position_for(item.m_request);
     std::vector<read_candidate> candidates;
@@ -299,8 +306,7 @@
 
 void group_service::update_primary_outage() {
     const auto pool = find_pool(m_record.m_primary);
-    const bool is_answering = pool && !pool->failing_since() && !pool->is_wrong_upstream();
-    m_outage.record_usable(accepts_new_primary_work() && is_answering, m_clock.m_now());
+    m_outage.record_usable(accepts_new_primary_work() && pool && can_run_work(*pool), m_clock.m_now());
 }
 
 void group_service::defer(const pending_ptr& item) {
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -57,13 +57,19 @@
 
 upstream_pool::upstream_pool(upstream_entry entry, pool_limits limits, const clock_port& clock,
                              const upstream_connector& connector, metrics& counters)
-    : m_entry(std::move(entry)), m_limits(limits), m_clock(clock), m_connector(connector),
-      m_metrics(counters), m_queue(queue_options(limits)),
+    : m_entry(std::move(entry)), m_limits(limits), m_drain(limits.m_drain_limit), m_clock(clock),
+      m_connector(connector), m_metrics(counters), m_queue(queue_options(limits)),
       m_accounting(connection_options(limits.m_connections, limits.m_min_idle)),
       m_last_response_at(clock.m_now()), m_alive(std::make_shared<bool>(true)) {
+    m_drain.observe(m_entry.m_leaving, m_clock.m_now());
     open_connections();
 }
 
+void upstream_pool::set_entry(const upstream_entry& entry) {
+    m_entry = entry;
+    m_drain.observe(m_entry.m_leaving, m_clock.m_now());
+}
+
 upstream_pool::~upstream_pool() {
     *m_alive = false;
     for (const connection_handle& connection : m_open_connections) {
@@ -327,10 +333,10 @@
     close_in_use();
 }
 
-void upstream_pool::refuse_waiting(result_code code) {
+void upstream_pool::refuse_waiting(result_code code, bool spares_transactions) {
     std::vector<std::uint64_t> waiting;
     for (const auto& [id, work] : m_work) {
-        if (!m_running.contains(id)) {
+        if (!m_running.contains(id) && !(spares_transactions && work.m_connection)) {
             waiting.push_back(id);
         }
     }
@@ -568,6 +574,9 @@
     for (const admission_ticket& expired : m_queue.remove_expired(now)) {
         finish(expired.m_id, {.m_outcome = work_outcome::not_run});
     }
+    if (!accepts_new_work()) {
+        refuse_waiting(result_code::upstream_leaving, true);
+    }
     close_unresponsive();
     expire_internal(now - response_timeout);
     const std::vector<connection_handle> handles(m_open_connections.begin(), m_open_connections.end());
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -15,6 +15,7 @@
 
 constexpr milliseconds tick{10};
 constexpr milliseconds path_delay{1};
+constexpr milliseconds drain_limit{7000};
 
 /// Time until the upstreams close the connections of an instance that lost power.
 constexpr milliseconds linger_time{3000};
@@ -187,7 +188,8 @@
             .m_forwarding_address = {.m_address = m_forwarding.m_address,
                                      .m_port = static_cast<std::uint16_t>(m_forwarding.m_port + number)},
             .m_store_relay_address = {.m_address = "10.1.0.2",
-                                      .m_port = static_cast<std::uint16_t>(number)}},
+                                      .m_port = static_cast<std::uint16_t>(number)},
+            .m_drain_limit = drain_limit},
         ports(name));
     made->start();
     made->adopt_configuration(m_configuration);
