--- a/libs/decisions/include/anvilmount/decisions/drain_window.hpp
+++ b/libs/decisions/include/anvilmount/decisions/drain_window.hpp
@@ -3,6 +3,9 @@
 /// is promoted; but an upstream ends some time after it has reported that it leaves, whether or not
 /// there is a coordinator that replaces it. Each instance therefore keeps the limit by itself: work that
 /// would come later is refused as not run, while open transactions may end.
+///
+/// An instance that had lost the store learns late of the report. The window counts from the last moment at
+/// which the instance knew that there was none.
 #pragma once
 
 #include "anvilmount/base/time.hpp"
@@ -11,22 +14,21 @@
 
 namespace anvilmount {
 
-class drain_window {
-public:
-    /// `limit`: from the upstream's report until it may get no more work; zero: none.
-    explicit drain_window(milliseconds limit) : m_limit(limit) {}
+/// What an instance knows of an upstream's report that it leaves.
+struct drain_report {
+    bool m_is_leaving{false};
+    steady_time m_earliest{}; ///< The report came no sooner; only while leaving.
 
-    /// Takes in whether the upstream reports that it leaves. When a drain began that was under way at the
-    /// first observation is not known: its window counts as closed.
-    void observe(bool is_leaving, steady_time now);
+    auto operator<=>(const drain_report&) const = default;
+};
 
-    /// Whether the upstream may get new work.
-    [[nodiscard]] bool is_open(steady_time now) const { return !m_closes_at || now < *m_closes_at; }
+/// Returns what is known now. `before`: what was known, nothing if the upstream is seen for the first time.
+/// `known_until`: what was known before still held then.
+[[nodiscard]] drain_report next_report(const std::optional<drain_report>& before, bool is_leaving,
+                                       steady_time known_until);
 
-private:
-    milliseconds m_limit;
-    bool m_is_observed{false};
-    std::optional<steady_time> m_closes_at; ///< Set while the upstream leaves, if there is a limit.
-};
+/// Whether the upstream may get work outside open transactions. `limit`: from its report until it may get
+/// no more; zero: none.
+[[nodiscard]] bool accepts_new_work(const drain_report& report, milliseconds limit, steady_time now);
 
 }
--- a/libs/decisions/src/drain_window.cpp
+++ b/libs/decisions/src/drain_window.cpp
@@ -1,25 +1,31 @@
 /// \file drain_window.cpp
-/// Implements the window from the first report seen here.
+/// Implements the window from the earliest moment of the report.
 #include "anvilmount/decisions/drain_window.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace anvilmount {
 namespace {
 
-/// From the report until it is known here and the last work sent because of it has arrived.
-constexpr milliseconds news_delay{1000};
+/// From sending a statement until it reaches the upstream.
+constexpr milliseconds path_time{300};
 
 }
 
-void drain_window::observe(bool is_leaving, steady_time now) {
-    const bool began_unseen = !std::exchange(m_is_observed, true);
-    if (!is_leaving || m_limit == milliseconds{0}) {
-        m_closes_at.reset();
-    } else if (!m_closes_at) {
-        m_closes_at = began_unseen ? now : now + std::max(m_limit - news_delay, milliseconds{0});
+drain_report next_report(const std::optional<drain_report>& before, bool is_leaving,
+                         steady_time known_until) {
+    if (!is_leaving) {
+        return {};
     }
+    if (before && before->m_is_leaving) {
+        return *before;
+    }
+    return {.m_is_leaving = true, .m_earliest = before ? known_until : steady_time{}};
+}
+
+bool accepts_new_work(const drain_report& report, milliseconds limit, steady_time now) {
+    return !report.m_is_leaving || limit == milliseconds{0} ||
+           now < report.m_earliest + std::max(limit - path_time, milliseconds{0});
 }
 
 }
--- a/libs/gateway/include/anvilmount/gateway/fleet.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet.hpp
@@ -52,6 +52,7 @@
     data_centre m_data_centre{};
     int m_slots{1};                      ///< Statements that the upstream runs at once.
     bool m_leaving{false};               ///< The upstream is being drained before it stops.
+    steady_time m_leaving_since{};       ///< At the earliest; only while leaving.
     bool m_registered_as_primary{false}; ///< The upstream's registration names it as primary.
     std::int64_t m_started_at_ms{0};     ///< Unix time; a later start has no state from before.
 
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -121,6 +121,11 @@
     /// Whether a poll has ever failed: the store is unavailable or refuses this instance.
     [[nodiscard]] bool has_poll_failed() const { return m_poll_failed; }
 
+    /// When the last successful heartbeat was sent; the epoch of the clock before the first.
+    [[nodiscard]] steady_time last_heartbeat_at() const {
+        return m_last_heartbeat_at.value_or(steady_time{});
+    }
+
     /// When the newest known state of the members table was read.
     [[nodiscard]] steady_time members_polled_at() const { return m_directory.read_at(); }
 
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -36,7 +36,7 @@
     std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core; 0: unknown.
     milliseconds m_lease{10000};
     std::size_t m_max_sessions{3000};
-    milliseconds m_drain_limit{0}; ///< See drain_window; zero: none.
+    milliseconds m_drain_limit{0}; ///< See drain_window.hpp; zero: none.
 };
 
 /// What the gateway needs of the outside.
@@ -87,8 +87,8 @@
     /// Applies a configuration; one that is not newer is ignored.
     void adopt_configuration(const fleet_configuration& newest);
 
-    /// Applies the set of registered upstreams.
-    void adopt_registry(const upstream_registry& registered);
+    /// Applies the set of registered upstreams. `known_until`: the set before still held then.
+    void adopt_registry(const upstream_registry& registered, steady_time known_until);
 
     /// Registrations may have expired while the store was unavailable: for a while, a missing
     /// registration does not mean that the upstream is gone.
@@ -194,6 +194,8 @@
     /// Names of prepared statements at the upstreams. Key: statement shape and whether it writes.
     std::map<std::pair<std::string, bool>, std::string> m_prepared_names;
     steady_time m_next_slow_tick{};
+    /// Until then, what was known of the upstreams' reports before the newest registrations still held.
+    steady_time m_reports_known_until{};
     std::optional<steady_time> m_leaving_since;
     milliseconds m_grace{0};
     std::function<void()> m_on_left;
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -69,7 +69,7 @@
     bool m_has_connections{true};
     /// A coordinator keeps one connection per upstream in any case, to poll its status.
     bool m_is_coordinator{false};
-    milliseconds m_drain_limit{0}; ///< See drain_window.
+    milliseconds m_drain_limit{0}; ///< See drain_window.hpp.
 };
 
 /// Places the requests for one group; see the file comment. Not thread-safe.
--- a/libs/gateway/include/anvilmount/gateway/table_follower.hpp
+++ b/libs/gateway/include/anvilmount/gateway/table_follower.hpp
@@ -55,6 +55,10 @@
     /// is unset if the copy has no such row.
     [[nodiscard]] store_row known_row(const std::string& key) const;
 
+    /// Until when, at least, the copy before the last change was that of the store, as far as the path to
+    /// it carried news; the epoch of the clock for the first copy.
+    [[nodiscard]] steady_time previous_copy_held_until() const { return m_previous_copy_held_until; }
+
     /// Since when requests have gone unanswered or been refused; unset while the store answers.
     [[nodiscard]] std::optional<steady_time> unavailable_since() const { return m_unavailable_since; }
     /// When the store last began to answer again.
@@ -81,6 +85,8 @@
     bool m_history_lost{false}; ///< No watch has succeeded since one was answered with history_gone.
     std::optional<steady_time> m_unavailable_since;
     steady_time m_recovered_at{};
+    steady_time m_answered_at{}; ///< The last time.
+    steady_time m_previous_copy_held_until{};
 };
 
 }
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -7,7 +7,6 @@
 
 #include "anvilmount/decisions/admission.hpp"
 #include "anvilmount/decisions/answer_time.hpp"
-#include "anvilmount/decisions/drain_window.hpp"
 #include "anvilmount/decisions/pool_accounting.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/ports.hpp"
@@ -87,7 +86,7 @@
     int m_connections{2};   ///< Connections that this instance may open.
     int m_max_in_flight{2}; ///< Concurrent statements of this instance; the most urgent rank may exceed it.
     int m_min_idle{1};      ///< Idle connections that are kept open.
-    milliseconds m_drain_limit{0}; ///< See drain_window; fixed when the pool is made.
+    milliseconds m_drain_limit{0}; ///< See drain_window.hpp.
 };
 
 /// Runs statements at one upstream; see the file comment. Not thread-safe.
@@ -100,9 +99,9 @@
     upstream_pool& operator=(const upstream_pool&) = delete;
 
     [[nodiscard]] const upstream_entry& entry() const { return m_entry; }
-    void set_entry(const upstream_entry& entry);
+    void set_entry(const upstream_entry& entry) { m_entry = entry; }
     /// Whether the upstream may get work outside open transactions: it is not drained.
-    [[nodiscard]] bool accepts_new_work() const { return m_drain.is_open(m_clock.m_now()); }
+    [[nodiscard]] bool accepts_new_work() const;
     void set_limits(pool_limits limits);
 
     /// Queues `work`; its m_done is called exactly once, never before submit() returns.
@@ -206,7 +205,6 @@
 
     upstream_entry m_entry;
     pool_limits m_limits;
-    drain_window m_drain;
     const clock_port& m_clock;
     const upstream_connector& m_connector;
     metrics& m_metrics;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 /// drains the instance.
 #include "anvilmount/gateway/gateway.hpp"
 
+#include "anvilmount/decisions/drain_window.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -197,13 +198,15 @@
     }
 }
 
-void gateway::adopt_registry(const upstream_registry& registered) {
+void gateway::adopt_registry(const upstream_registry& registered, steady_time known_until) {
     if (!m_registry_known) {
         // The store may have been unavailable until now.
         on_registry_regained();
     }
     m_reported_upstreams = registered;
     m_registry_known = true;
+    // News on a connection that has lost its path comes late. The last heartbeat reached the store.
+    m_reports_known_until = std::min(known_until, m_fleet_coordinator.last_heartbeat_at());
     apply_registry();
 }
 
@@ -223,6 +226,12 @@
         reported.m_leaving ||
         (known != m_upstreams.end() && is_same_start(known->second) && known->second.m_leaving) ||
         std::any_of(m_left_upstreams.begin(), m_left_upstreams.end(), is_same_start);
+    std::optional<drain_report> before;
+    if (known != m_upstreams.end() && is_same_start(known->second)) {
+        before = drain_report{.m_is_leaving = known->second.m_leaving,
+                              .m_earliest = known->second.m_leaving_since};
+    }
+    entry.m_leaving_since = next_report(before, entry.m_leaving, m_reports_known_until).m_earliest;
     return entry;
 }
 
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -110,7 +110,9 @@
         }
         // Running statements may still be answered, but no new ones are sent.
         upstream_entry leaving_entry = item->second->entry();
-        leaving_entry.m_leaving = true;
+        if (!std::exchange(leaving_entry.m_leaving, true)) {
+            leaving_entry.m_leaving_since = m_clock.m_now();
+        }
         item->second->set_entry(leaving_entry);
         item->second->refuse_waiting(result_code::upstream_leaving);
         item = item->second->in_progress() == 0 && item->second->connections_in_use() == 0
--- a/libs/gateway/src/table_follower.cpp
+++ b/libs/gateway/src/table_follower.cpp
@@ -130,6 +130,9 @@
     m_history_lost = m_history_lost && snapshot;
     store_answer received = reply;
     received.m_is_delta = !snapshot;
+    // A watch reports a change as it happens; a snapshot shows what has happened since the last answer.
+    m_previous_copy_held_until = snapshot ? m_answered_at : m_clock.m_now();
+    m_answered_at = m_clock.m_now();
     const bool changed = m_copy.apply(received) || (snapshot && !m_loaded);
     m_loaded = m_loaded || snapshot;
     m_snapshot_in_flight = false;
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -4,6 +4,7 @@
 #include "anvilmount/gateway/upstream_pool.hpp"
 
 #include "anvilmount/base/failure.hpp"
+#include "anvilmount/decisions/drain_window.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -57,17 +58,17 @@
 
 upstream_pool::upstream_pool(upstream_entry entry, pool_limits limits, const clock_port& clock,
                              const upstream_connector& connector, metrics& counters)
-    : m_entry(std::move(entry)), m_limits(limits), m_drain(limits.m_drain_limit), m_clock(clock),
-      m_connector(connector), m_metrics(counters), m_queue(queue_options(limits)),
+    : m_entry(std::move(entry)), m_limits(limits), m_clock(clock), m_connector(connector),
+      m_metrics(counters), m_queue(queue_options(limits)),
       m_accounting(connection_options(limits.m_connections, limits.m_min_idle)),
       m_last_response_at(clock.m_now()), m_alive(std::make_shared<bool>(true)) {
-    m_drain.observe(m_entry.m_leaving, m_clock.m_now());
     open_connections();
 }
 
-void upstream_pool::set_entry(const upstream_entry& entry) {
-    m_entry = entry;
-    m_drain.observe(m_entry.m_leaving, m_clock.m_now());
+bool upstream_pool::accepts_new_work() const {
+    return anvilmount::accepts_new_work(
+        {.m_is_leaving = m_entry.m_leaving, .m_earliest = m_entry.m_leaving_since}, m_limits.m_drain_limit,
+        m_clock.m_now());
 }
 
 upstream_pool::~upstream_pool() {
--- a/test/gateway/fleet_faults.cpp
+++ b/test/gateway/fleet_faults.cpp
@@ -360,7 +360,7 @@
     auto registered = fleet.m_upstreams.registry();
     registered.erase({"orders-1"});
     for (int number = 1; number <= 3; ++number) {
-        fleet.instance(number).adopt_registry(registered);
+        fleet.instance(number).adopt_registry(registered, fleet.m_clock.now());
     }
     fleet.run_for(2000ms);
     fleet.publish_registry();
--- a/test/gateway/restored_store.cpp
+++ b/test/gateway/restored_store.cpp
@@ -254,18 +254,18 @@
     fleet.publish_registry();
     fleet.run_for(1000ms);
     BOOST_TEST(is_leaving());
-    fleet.instance(1).adopt_registry(before);
+    fleet.instance(1).adopt_registry(before, fleet.m_clock.now());
     BOOST_TEST(is_leaving());
     gateway::upstream_registry without = fleet.m_upstreams.registry();
     without.erase({"orders-3"});
-    fleet.instance(1).adopt_registry(without);
+    fleet.instance(1).adopt_registry(without, fleet.m_clock.now());
     fleet.run_for(5000ms);
-    fleet.instance(1).adopt_registry(before);
+    fleet.instance(1).adopt_registry(before, fleet.m_clock.now());
     fleet.run_for(500ms);
     BOOST_TEST(is_leaving());
     gateway::upstream_registry restarted = before;
     restarted.at({"orders-3"}).m_started_at_ms += 1000;
-    fleet.instance(1).adopt_registry(restarted);
+    fleet.instance(1).adopt_registry(restarted, fleet.m_clock.now());
     BOOST_TEST(!is_leaving());
 }
 
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -194,7 +194,7 @@
     made->start();
     made->adopt_configuration(m_configuration);
     if (registry_known) {
-        made->adopt_registry(m_upstreams.registry());
+        made->adopt_registry(m_upstreams.registry(), m_clock.now());
     }
     m_instances[name] = std::move(made);
     if (m_follows_configuration) {
@@ -287,7 +287,7 @@
 
 void gateway_fleet::publish_registry() {
     for (const auto& [name, each] : m_instances) {
-        each->adopt_registry(m_upstreams.registry());
+        each->adopt_registry(m_upstreams.registry(), m_clock.now());
     }
 }
 
