Draw restarts in turn with late changes, and coordinators frozen at their confirmation, in the soak

The stand-in store can make a share of the changes 1 to 6 s later without an answer, and tells what is written before it answers.

--- a/standins/line_platform/row_store.cpp
+++ b/standins/line_platform/row_store.cpp
@@ -19,6 +19,8 @@
 
 constexpr milliseconds response_time{4};
 constexpr milliseconds watch_poll_interval{20};
+constexpr milliseconds min_late_time{1000};
+constexpr milliseconds max_late_time{6000};
 constexpr std::size_t max_history = 4000;
 
 constexpr milliseconds backup_interval{250};
@@ -147,6 +149,12 @@
         const std::string path = url.path().toStdString();
         if (path == "/anvilmount/rows-get") {
             send(conn, read_rows(query));
+        } else if (path == "/anvilmount/rows-tx" &&
+                   std::bernoulli_distribution(m_faults.m_late_rate)(m_random)) {
+            const milliseconds delay{std::uniform_int_distribution<std::int64_t>(
+                min_late_time.count(), max_late_time.count())(m_random)};
+            m_loop.after(delay, [this, body] { static_cast<void>(change_rows(body)); });
+            conn->m_stream->close();
         } else if (path == "/anvilmount/rows-tx") {
             const reply answer = change_rows(body);
             std::bernoulli_distribution loss(m_faults.m_answer_loss_rate);
@@ -231,7 +239,12 @@
     }
     ++m_version;
     for (const json& each : writes) {
-        write_row({each.at("table"), each.at("key")}, each.at("value").get<std::string>(), m_version);
+        const std::string value = each.at("value").get<std::string>();
+        write_row({each.at("table"), each.at("key")}, value, m_version);
+        if (m_on_write) {
+            m_on_write(each.at("table"), each.at("key"),
+                       QByteArray::fromBase64(QByteArray::fromStdString(value)).toStdString());
+        }
     }
     for (const json& each : request.value("remove", json::array())) {
         write_row({each.at("table"), each.at("key")}, std::nullopt, m_version);
--- a/standins/line_platform/row_store.hpp
+++ b/standins/line_platform/row_store.hpp
@@ -30,6 +30,7 @@
     bool m_silent{false};         ///< Answers no request and changes nothing.
     int m_slowdown_factor{1};     ///< Multiplies the response time.
     double m_answer_loss_rate{0}; ///< Share of the changes that are applied and not answered.
+    double m_late_rate{0}; ///< Share of the changes that are not answered, and applied 1 to 6 s later.
 };
 
 /// A call of POST /promote.
@@ -57,6 +58,11 @@
 
     void set_faults(const row_store_faults& faults) { m_faults = faults; }
 
+    /// Is told of each row that a client writes, before the client is answered.
+    using write_observer =
+        std::function<void(const std::string& table, const std::string& key, const std::string& value)>;
+    void set_write_observer(write_observer observer) { m_on_write = std::move(observer); }
+
     /// Discards the change history: watches from an earlier version are answered 410.
     void forget_history();
 
@@ -121,6 +127,7 @@
     std::mt19937 m_random;
     promotion_handler m_on_promotion;
     row_store_faults m_faults;
+    write_observer m_on_write;
     std::unique_ptr<anvilmount::tcp_listener> m_listener;
     std::set<connection_ptr> m_connections;
     std::map<row_key, row> m_rows;
--- a/test/soak/lease_faults.cpp
+++ b/test/soak/lease_faults.cpp
@@ -82,8 +82,11 @@
         };
         const auto refused = count(soak::soak_fault::instance_refused);
         const auto silent = count(soak::soak_fault::instance_silent);
-        BOOST_TEST(refused + silent >= 1);
-        BOOST_TEST(count(soak::soak_fault::primary_drains) == refused);
-        BOOST_TEST(count(soak::soak_fault::primary_refuses) == silent);
+        const auto turns = count(soak::soak_fault::store_late) + count(soak::soak_fault::confirmed_pause);
+        BOOST_TEST(turns >= 1);
+        BOOST_TEST(refused + silent >= 1 + count(soak::soak_fault::store_late));
+        BOOST_TEST(count(soak::soak_fault::primary_drains) == refused + turns);
+        BOOST_TEST(count(soak::soak_fault::primary_refuses) ==
+                   silent - count(soak::soak_fault::store_late));
     }
 }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -145,6 +145,10 @@
             return m_fleet.set_upstream_faults(target, {.m_answer_loss_rate = 0.05});
         case soak_fault::replica_lags:
             return m_fleet.set_upstream_faults(target, {.m_extra_lag = milliseconds{2000}});
+        case soak_fault::store_late:
+            return m_fleet.store().set_faults({.m_late_rate = 0.35});
+        case soak_fault::confirmed_pause:
+            return m_fleet.pause_next_confirmed();
         case soak_fault::instance_refused:
             return m_fleet.set_isolation_faults(target, {.m_refuse = true});
         case soak_fault::instance_silent:
@@ -181,8 +185,12 @@
         case soak_fault::store_slow:
         case soak_fault::store_loses:
         case soak_fault::store_forgets:
+        case soak_fault::store_late:
             m_fleet.store().set_faults({});
             break;
+        case soak_fault::confirmed_pause:
+            m_fleet.resume_confirmed();
+            break;
         case soak_fault::store_restored:
             m_fleet.store().set_faults({});
             // Twice the time that it was away, at least a second.
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -55,6 +56,9 @@
 
 constexpr int grace_s = 6;
 
+const std::string gateway_prefix = "gateway-";
+const std::string coordinator_key = "steward";
+
 }
 
 soak_fleet::soak_fleet(reactor& loop, const soak_options& options)
@@ -84,6 +88,8 @@
         }
         return std::pair{picked, gateway_address(picked, callers)};
     };
+    m_store.set_write_observer([this](const std::string&, const std::string& key,
+                                      const std::string& value) { on_store_write(key, value); });
     m_environment.m_on_cut_off = [this](int gateway, const std::string& id, milliseconds waited) {
         on_cut_off(gateway, id, waited);
     };
@@ -157,7 +163,7 @@
     const auto line = [&](const std::string& name, const std::string& value) {
         file << "--" << name << "=" << value << "\n";
     };
-    line("name", "gateway-" + std::to_string(number));
+    line("name", gateway_prefix + std::to_string(number));
     line("data_centre", "dc" + std::to_string(number % 2));
     line("callers", to_string(gateway_address(number, callers)));
     line("readiness", to_string(gateway_address(number, readiness)));
@@ -271,6 +277,29 @@
     }
 }
 
+void soak_fleet::on_store_write(const std::string& key, const std::string& value) {
+    if (!m_pauses_confirmed || key != coordinator_key) {
+        return;
+    }
+    const json record = json::parse(value, nullptr, false);
+    const std::string holder = record.value("holder", std::string{});
+    if (record.value("pending", json::array()).empty() || !holder.starts_with(gateway_prefix)) {
+        return;
+    }
+    m_pauses_confirmed = false;
+    m_paused_coordinator = std::stoi(holder.substr(gateway_prefix.size()));
+    std::printf("        confirmed_pause stops %s\n", holder.c_str());
+    record_fault();
+    pause_gateway(*m_paused_coordinator);
+}
+
+void soak_fleet::resume_confirmed() {
+    m_pauses_confirmed = false;
+    if (const auto paused = std::exchange(m_paused_coordinator, std::nullopt)) {
+        resume_gateway(*paused);
+    }
+}
+
 void soak_fleet::stop_gateway(int number) {
     gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
     if (target.m_process && !target.m_leaving_since) {
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -43,6 +43,9 @@
     void kill_gateway(int number);
     void pause_gateway(int number);
     void resume_gateway(int number);
+    /// Pauses the coordinator that next writes an order of promotion to the store, before it is answered.
+    void pause_next_confirmed() { m_pauses_confirmed = true; }
+    void resume_confirmed();
     void stop_gateway(int number); ///< Sends SIGTERM; the gateway is restarted after it has ended.
     void reload_gateway(int number);
     void restart_gateway(int number); ///< Does nothing if the gateway is running.
@@ -102,6 +105,7 @@
     [[nodiscard]] std::string registration(int upstream) const;
     [[nodiscard]] int upstream_number(const std::string& upstream) const;
     [[nodiscard]] std::string primary_of(int gateway) const;
+    void on_store_write(const std::string& key, const std::string& value);
     void on_commit(const std::string& upstream, const standin::line_commit& what);
     void on_cut_off(int gateway, const std::string& id, anvilmount::milliseconds waited);
     [[nodiscard]] static std::string group_name(int number) { return "group" + std::to_string(number); }
@@ -115,6 +119,8 @@
     soak_environment m_environment;
     std::vector<std::string> m_upstream_ids;
     std::vector<std::unique_ptr<standin::fault_relay>> m_upstream_paths;
+    bool m_pauses_confirmed{false};
+    std::optional<int> m_paused_coordinator;
     std::set<std::string> m_draining;           ///< Upstreams that are registered as draining.
     std::set<std::string> m_refusing_upstreams; ///< Upstreams whose paths refuse.
     std::vector<gateway_process> m_gateways;
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -61,6 +61,9 @@
     fault_kind{soak_fault::instance_silent, "instance_silent", target_kind::gateway, 0, milliseconds{5500}},
     fault_kind{soak_fault::primary_drains, "primary_drains", target_kind::gateway, 0, milliseconds{8000}},
     fault_kind{soak_fault::primary_refuses, "primary_refuses", target_kind::gateway, 0, milliseconds{4500}},
+    fault_kind{soak_fault::store_late, "store_late", target_kind::store, 0, milliseconds{8000}},
+    fault_kind{soak_fault::confirmed_pause, "confirmed_pause", target_kind::fleet, 0, milliseconds{9000}},
+    fault_kind{soak_fault::stop, "stop", target_kind::gateway, 0, milliseconds{100}},
 };
 constexpr std::uint32_t lease_seed_salt = 0x1ea5e;
 constexpr milliseconds first_lease_fault{1500};
@@ -69,6 +72,15 @@
 constexpr milliseconds drain_after_refusal{100};
 constexpr milliseconds refusal_after_silence{500};
 
+/// Gateways that are stopped in turn while the store is late, and the pauses between these and what
+/// follows.
+constexpr std::uint32_t turn_seed_salt = 0x7u;
+constexpr int max_turns = 6;
+constexpr milliseconds first_turn{4000};
+constexpr milliseconds turn_gap{1500};
+constexpr milliseconds pause_after_turns{3000};
+constexpr milliseconds turn_interval{15000};
+
 constexpr milliseconds min_active_time{100};
 constexpr milliseconds max_interval{2200};
 
@@ -77,6 +89,39 @@
                          [&](const fault_kind& each) { return each.m_fault == fault; });
 }
 
+soak_event lease_event(soak_fault fault, milliseconds at, int target) {
+    return {.m_at = at,
+            .m_active_time = lease_kind(fault).m_max_active_time,
+            .m_fault = fault,
+            .m_target = target};
+}
+
+/// Gateways are stopped in turn while the store makes changes late; one of the new processes then loses the
+/// store and the others, and a primary is replaced by plan. Or a coordinator is suspended as it is about to
+/// order a promotion.
+std::vector<soak_event> draw_turns(std::uint32_t seed, const soak_size& size) {
+    std::mt19937 random(seed ^ turn_seed_salt);
+    const auto below = [&](int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(random); };
+    std::vector<soak_event> events;
+    for (milliseconds at = first_turn; at < size.m_duration; at += turn_interval) {
+        const int gateway = below(size.m_gateways);
+        if (below(2) == 0) {
+            events.push_back(lease_event(soak_fault::confirmed_pause, at, 0));
+            events.push_back(lease_event(soak_fault::primary_drains, at + drain_after_refusal, gateway));
+            continue;
+        }
+        events.push_back(lease_event(soak_fault::store_late, at, 0));
+        const int turns = std::min(size.m_gateways, max_turns);
+        for (int turn = 0; turn < turns; ++turn) {
+            events.push_back(lease_event(soak_fault::stop, at + turn_gap * turn, turn));
+        }
+        const milliseconds change_at = at + turn_gap * turns + pause_after_turns;
+        events.push_back(lease_event(soak_fault::instance_silent, change_at, gateway));
+        events.push_back(lease_event(soak_fault::primary_drains, change_at + drain_after_refusal, gateway));
+    }
+    return events;
+}
+
 /// One gateway loses the store and the other gateways while it holds a lease, and a primary that it still
 /// reaches is replaced: by plan, or since it refuses the others.
 std::vector<soak_event> draw_lease_faults(std::uint32_t seed, const soak_size& size) {
@@ -86,10 +131,7 @@
     };
     std::vector<soak_event> events;
     const auto add = [&](soak_fault fault, milliseconds at, int target) {
-        events.push_back({.m_at = at,
-                          .m_active_time = lease_kind(fault).m_max_active_time,
-                          .m_fault = fault,
-                          .m_target = target});
+        events.push_back(lease_event(fault, at, target));
     };
     for (milliseconds at = first_lease_fault; at < size.m_duration;
          at += lease_fault_interval + milliseconds{below(max_lease_fault_delay.count())}) {
@@ -165,7 +207,8 @@
         events.push_back(
             {.m_at = at, .m_active_time = active_time, .m_fault = kind->m_fault, .m_target = target});
     }
-    for (const auto& drawn : {draw_restores(seed, size), draw_lease_faults(seed, size)}) {
+    for (const auto& drawn :
+         {draw_restores(seed, size), draw_lease_faults(seed, size), draw_turns(seed, size)}) {
         events.insert(events.end(), drawn.begin(), drawn.end());
     }
     std::stable_sort(events.begin(), events.end(), [](const soak_event& left, const soak_event& right) {
--- a/test/soak/soak_schedule.hpp
+++ b/test/soak/soak_schedule.hpp
@@ -39,6 +39,8 @@
     instance_silent,  ///< A gateway and the store, and the gateways among themselves, hear nothing.
     primary_drains,   ///< The primary of a group is to be replaced by plan.
     primary_refuses,  ///< The primary of a group refuses all gateways but one.
+    store_late,       ///< The store applies 35% of the changes 1 to 6 s later, unanswered.
+    confirmed_pause,  ///< The coordinator is suspended as its next order is confirmed.
 };
 
 /// One fault of a schedule.
