Announce no recovered primary while the store may have forgotten an order

Change: in a record of an earlier era that is under way, no upstream is announced until an order of before can take effect no more (4.5 s from the era's beginning), unless this process was the active coordinator when the era began.

--- a/libs/decisions/include/anvilmount/decisions/promotion_orders.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_orders.hpp
@@ -20,6 +20,9 @@
 /// when the time to answer is over, and the platform needs some hundred milliseconds for a promotion.
 constexpr milliseconds max_promotion_delay{3000};
 
+/// From the request of a confirmation until the order that it allows can take effect no more.
+constexpr milliseconds max_order_age = max_confirmation_age + max_promotion_delay;
+
 class promotion_orders {
 public:
     /// A promotion of `target` is ordered, at `now` at the latest after max_confirmation_age.
--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -59,6 +59,8 @@
     steady_time m_era_seen_at{};               ///< When the coordinator first saw this era.
     /// Upstreams whose promotion was ordered by any coordinator and may still take effect.
     std::vector<upstream_id> m_pending_orders{};
+    /// Otherwise the store may have forgotten an order, with the row of the coordinator that sent it.
+    bool m_knows_all_orders{true};
     /// Instances that knew newer records than the store's older copy have had the time to write them.
     bool m_lost_records_written{true};
 };
--- a/libs/decisions/src/promotion_orders.cpp
+++ b/libs/decisions/src/promotion_orders.cpp
@@ -7,7 +7,7 @@
 void promotion_orders::record(const upstream_id& target, steady_time now) {
     order& known = m_orders[target];
     known.m_was_repeated = now < known.m_may_act_until;
-    known.m_may_act_until = now + max_confirmation_age + max_promotion_delay;
+    known.m_may_act_until = now + max_order_age;
 }
 
 void promotion_orders::record_refusal(const upstream_id& target) {
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -40,8 +40,12 @@
 /// Returns whether an order may still make another upstream than `primary` the primary of a newer term.
 /// The commits made at `primary` until then would be lost.
 bool may_be_superseded(const plan_view& view, const upstream_id& primary) {
-    return std::any_of(view.m_pending_orders.begin(), view.m_pending_orders.end(),
-                       [&](const upstream_id& each) { return each != primary; });
+    // An order is sent only after a record that says so, which whoever has adopted it writes back.
+    const bool was_forgotten = !view.m_knows_all_orders &&
+                               view.m_record.m_stage == group_stage::switching &&
+                               is_before_era(view.m_record.m_epoch, view.m_era);
+    return was_forgotten || std::any_of(view.m_pending_orders.begin(), view.m_pending_orders.end(),
+                                        [&](const upstream_id& each) { return each != primary; });
 }
 
 /// Returns whether no instance can use the old primary any more. What the coordinator sees of
--- a/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
+++ b/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
@@ -44,6 +44,8 @@
     /// Era of the store; 0 while it has named none.
     [[nodiscard]] std::uint64_t era() const { return m_era; }
     [[nodiscard]] steady_time era_seen_at() const { return m_era_seen_at; }
+    /// Whether the store has never come back from an older copy, as far as known.
+    [[nodiscard]] bool is_first_era() const { return m_era <= 1; }
 
     /// Whether the copies of the members and records tables are of the present era.
     [[nodiscard]] bool has_read_tables() const;
@@ -67,8 +69,6 @@
     bool tick(int rank);
 
 private:
-    /// The store has never come back from an older copy.
-    [[nodiscard]] bool is_first_era() const { return m_era <= 1; }
     void write_back_records();
     [[nodiscard]] bool settle();
 
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -173,6 +173,8 @@
     [[nodiscard]] bool is_active_coordinator_gone();
     void try_become_active();
     void become_active();
+    /// Whether each order that may still take effect is in m_orders.
+    [[nodiscard]] bool knows_all_orders() const;
     /// Returns the coordinator record to store: the one known, with the orders that may still take effect.
     [[nodiscard]] coordinator_record record_with_orders() const;
     void step_down();
@@ -205,6 +207,8 @@
     std::map<group_name, std::unique_ptr<group_coordination>> m_group_coordinations;
     /// Kept when the active role is lost: the orders may still take effect.
     std::map<group_name, promotion_orders> m_orders;
+    /// Era of the store at whose beginning this process was the active coordinator; 0: none.
+    std::uint64_t m_active_since_before_era{0};
     /// Version of the newest change of any record, as far as known.
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -125,10 +125,14 @@
     m_coordinator_version = {};
     m_reported_record.reset();
     adopt_own_row(nullptr);
+    const steady_time now = m_ports.m_clock->m_now();
     if (m_is_active) {
+        if (now < m_coordinator_changed_at + coordinator_suspect_timeout) {
+            // Nobody has taken over and ordered anything since the last renewal.
+            m_active_since_before_era = era;
+        }
         step_down();
     }
-    const steady_time now = m_ports.m_clock->m_now();
     m_next_poll = now;
     m_next_heartbeat = now;
     m_records.refresh();
@@ -464,6 +468,11 @@
     }
 }
 
+bool fleet_coordinator::knows_all_orders() const {
+    return m_recovery.is_first_era() || m_active_since_before_era == m_recovery.era() ||
+           m_ports.m_clock->m_now() >= m_recovery.era_seen_at() + max_order_age;
+}
+
 coordinator_record fleet_coordinator::record_with_orders() const {
     coordinator_record record = m_coordinator_record;
     record.m_pending.clear();
@@ -782,6 +791,7 @@
     view.m_primary_refuses_connections =
         primary != group.pools().end() && primary->second->refuses_connections();
     view.m_pending_orders = m_orders[name].pending(now);
+    view.m_knows_all_orders = knows_all_orders();
     view.m_instances = plan_members(name, view.m_record, group);
     for (const auto& [id, pool] : group.pools()) {
         plan_upstream observed = coordination.m_reports[id];
--- a/test/gateway/handover_steps.cpp
+++ b/test/gateway/handover_steps.cpp
@@ -58,18 +58,22 @@
     promotion_answers_lost,
     confirmation_late, ///< The coordinator is cut off while its next order is confirmed.
     paths_heal,        ///< A primary that was cut off is back.
+    store_restored,    ///< The store comes back as it was when the change began.
+    primary_leaves,    ///< The newest primary is to be replaced, by plan.
 };
 constexpr std::array faults{
     fault::coordinator_killed, fault::coordinator_stopped, fault::coordinator_cut_off,
     fault::instance_refuses,   fault::instance_killed,     fault::store_away,
     fault::changes_late,       fault::change_answers_lost, fault::promotion_answers_lost,
-    fault::confirmation_late,  fault::paths_heal};
+    fault::confirmation_late,  fault::paths_heal,          fault::store_restored,
+    fault::primary_leaves};
 
 class handover {
 public:
     void begin(beginning how) {
         m_fleet.m_upstreams.m_promotion_time = 900ms;
         m_fleet.run_for(300ms);
+        m_backup = m_fleet.m_store.back_up();
         switch (how) {
         case beginning::primary_leaves:
             m_check.leave_primary();
@@ -183,6 +187,12 @@
         case fault::paths_heal:
             m_fleet.m_upstreams.heal_paths();
             break;
+        case fault::store_restored:
+            m_fleet.m_store.restore(m_backup);
+            break;
+        case fault::primary_leaves:
+            m_check.leave_primary();
+            break;
         }
     }
 
@@ -250,6 +260,7 @@
     test::gateway_fleet m_fleet{instances};
     test::primary_check m_check{m_fleet};
     std::set<int> m_stopped;
+    std::shared_ptr<const test::fake_store::backup> m_backup; ///< Of the beginning of the change.
     steady_time m_began_at{};
     int m_round{0};
 };
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -344,6 +344,20 @@
     BOOST_TEST((promotion_plan(options).next(view, start).m_step == plan_step::request_status));
 }
 
+BOOST_AUTO_TEST_CASE(a_recovered_primary_is_not_announced_while_the_store_may_have_forgotten_an_order) {
+    plan_view view = switching(false);
+    view.m_upstreams[0].m_status_at = start;
+    view.m_coordinator_cannot_reach_primary = false;
+    view.m_era = 2;
+    view.m_knows_all_orders = false;
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step != plan_step::write_record));
+    view.m_knows_all_orders = true;
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_REQUIRE((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::steady));
+    BOOST_TEST(order.m_record.m_primary.m_text == "a");
+}
+
 BOOST_AUTO_TEST_CASE(a_record_from_an_earlier_era_is_not_written_while_a_newer_one_may_be_known) {
     plan_view view = restored();
     view.m_lost_records_written = false;
