Let SIGTERM end a gateway that has only begun to start

Traced: all gateways were killed at 20.0 s and started again at 20.14; SIGTERM came at 20.61, before gateway 0 had written its first line, and so before it had set up its handling of signals. It had accepted nothing; the signal's default action is allowed there. Only this is let pass: the exit code of SIGTERM, of a process that was told to stop and has written no line.

--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -92,12 +92,14 @@
         /// From the other gateways to the addresses that it advertises to them.
         std::vector<std::unique_ptr<standin::fault_relay>> m_peer_paths{};
         bool m_paused{false};
+        std::uintmax_t m_log_size_at_start{0}; ///< A process writes its first line once it handles signals.
         std::optional<anvilmount::steady_time> m_leaving_since{}; ///< When SIGTERM was sent.
     };
 
     [[nodiscard]] anvilmount::endpoint loopback_endpoint(int offset) const;
     [[nodiscard]] anvilmount::endpoint gateway_address(int number, int offset) const;
     void spawn(int number);
+    [[nodiscard]] std::uintmax_t log_size(int number) const;
     void write_settings(int number) const;
     void poll_processes();
     void write_configuration();
