--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -290,7 +290,7 @@
                 store_row stored = written.front();
                 stored.m_version = reply.m_version;
                 adopt_own_row(&stored);
-            } else if (reply.m_status != store_status::done) {
+            } else if (reply.m_status != store_status::done && reply.m_status != store_status::conflict) {
                 // It may still be made, late.
                 m_must_write_record = true;
             }
