Decode client accounts and public routes, and take the settings of revocation and quotas

The configuration's accounts, keys and quotas are decoded once, into types of the gateway. Nothing uses them yet. Result codes 1008, 1317 and 1318 are for the parts that will.

--- a/libs/base/include/anvilmount/base/result_code.hpp
+++ b/libs/base/include/anvilmount/base/result_code.hpp
@@ -28,6 +28,7 @@
     unknown_group = 1005,
     cancel_key_unknown = 1006,
     too_many_callers = 1007,
+    unauthenticated = 1008,
 
     copy_unsupported = 1101,
     replication_unsupported = 1102,
@@ -59,6 +60,8 @@
     write_lost = 1314,
     statement_failed = 1315,
     statement_timed_out = 1316,
+    account_unconfirmed = 1317,
+    quota_exceeded = 1318,
 
     platform_unavailable = 1401,
     platform_conflict = 1402,
--- a/libs/base/src/result_code.cpp
+++ b/libs/base/src/result_code.cpp
@@ -22,6 +22,7 @@
     table_row{result_code::unknown_group, {"unknown_group", "3D000", outcome::not_run, false}},
     table_row{result_code::cancel_key_unknown, {"cancel_key_unknown", "08P01", outcome::not_run, false}},
     table_row{result_code::too_many_callers, {"too_many_callers", "53300", outcome::not_run, true}},
+    table_row{result_code::unauthenticated, {"unauthenticated", "28000", outcome::not_run, false}},
 
     table_row{result_code::copy_unsupported, {"copy_unsupported", "0A000", outcome::not_run, false}},
     table_row{result_code::replication_unsupported,
@@ -61,6 +62,9 @@
     table_row{result_code::statement_failed, {"statement_failed", "XX000", outcome::failed, false}},
     table_row{result_code::statement_timed_out, {"statement_timed_out", "57014", outcome::unknown, false}},
 
+    table_row{result_code::account_unconfirmed, {"account_unconfirmed", "57P03", outcome::not_run, true}},
+    table_row{result_code::quota_exceeded, {"quota_exceeded", "53400", outcome::not_run, true}},
+
     table_row{result_code::platform_unavailable, {"platform_unavailable", "57P03", outcome::unknown, true}},
     table_row{result_code::platform_conflict, {"platform_conflict", "40001", outcome::failed, false}},
     table_row{result_code::platform_bad_answer, {"platform_bad_answer", "58000", outcome::unknown, false}},
--- a/libs/gateway/include/anvilmount/gateway/fleet.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet.hpp
@@ -29,6 +29,15 @@
     consistency m_consistency{consistency::strong};
     request_class m_class{};          ///< Priority, staleness bound and statement timeout.
     milliseconds m_latency_target{0}; ///< For a whole operation.
+    bool m_is_public{false};          ///< Served without a client account's key.
+};
+
+/// A client account and its quota over the whole fleet. The quota counts operations: statements outside
+/// transactions, and transactions.
+struct client_account {
+    int m_priority{0};
+    std::optional<double> m_operations_per_second{}; ///< Unset: no limit.
+    double m_burst{0};                               ///< Operations beyond the rate that may run at once.
 };
 
 /// Limits of one group (the configuration calls it a service).
@@ -42,6 +51,10 @@
     std::map<std::string, database_route> m_routes{}; ///< Key: database name.
     std::map<group_name, service_limits> m_services{};
     milliseconds m_idle_transaction_timeout{0}; ///< 0: idle transactions are not ended.
+    /// Key: the account's name. Empty: the deployment has no client accounts.
+    std::map<std::string, client_account> m_accounts{};
+    /// Account names by key. Keys are secrets: they are never logged, dumped or sent to another process.
+    std::map<std::string, std::string> m_account_keys{};
 };
 
 /// One upstream as it registered itself.
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 /// I/O; adapters provide both through the ports.
 #pragma once
 
+#include "anvilmount/decisions/quota_window.hpp"
 #include "anvilmount/gateway/caller_session.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/fleet_coordinator.hpp"
@@ -37,6 +38,10 @@
     milliseconds m_lease{10000};
     std::size_t m_max_sessions{3000};
     milliseconds m_drain_limit{0}; ///< See drain_window.hpp; zero: none.
+    /// Within this time of its removal a key is refused whether or not the store is heard; unset: no such
+    /// bound.
+    std::optional<milliseconds> m_revocation_limit{};
+    quota_window m_quota_window{};
 };
 
 /// What the gateway needs of the outside.
--- a/test/gateway/platform_records.cpp
+++ b/test/gateway/platform_records.cpp
@@ -91,3 +91,20 @@
         BOOST_TEST(!decode_configuration(text).has_value());
     }
 }
+
+// Without accounts every caller of the deployment would be served; without the public flag none would be.
+BOOST_AUTO_TEST_CASE(client_accounts_and_public_routes_are_decoded) {
+    const auto decoded = decode_configuration(
+        R"({"version":7,"routes":[{"host":"open","type":"primary","service":"s","timeoutMs":800,"public":true},)"
+        R"({"host":"keyed","type":"primary","service":"s","timeoutMs":800}],"services":[],"limits":{},)"
+        R"("tenants":[{"name":"miny","apiKeys":["k1","k2"],"priority":1,"ratePerS":335,"burstSize":40},)"
+        R"({"name":"free","apiKeys":[]}]})");
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->m_routes.at("open").m_is_public);
+    BOOST_TEST(!decoded->m_routes.at("keyed").m_is_public);
+    BOOST_TEST(decoded->m_account_keys.at("k1") == "miny");
+    BOOST_TEST(decoded->m_account_keys.at("k2") == "miny");
+    BOOST_TEST(decoded->m_accounts.at("miny").m_operations_per_second.value() == 335);
+    BOOST_TEST(decoded->m_accounts.at("miny").m_burst == 40);
+    BOOST_TEST(!decoded->m_accounts.at("free").m_operations_per_second.has_value());
+}
