--- a/test/gateway/platform_records.cpp
+++ b/test/gateway/platform_records.cpp
@@ -108,3 +108,15 @@
     BOOST_TEST(decoded->m_accounts.at("miny").m_burst == 40);
     BOOST_TEST(!decoded->m_accounts.at("free").m_operations_per_second.has_value());
 }
+
+// A deployment whose priorities start at 1 had no route of the most urgent rank, and its two lower
+// priorities shared one rank.
+BOOST_AUTO_TEST_CASE(ranks_follow_the_order_of_the_priorities_in_the_configuration) {
+    const auto decoded = decode_configuration(
+        R"({"version":7,"routes":[{"host":"posting","type":"primary","service":"s","timeoutMs":800,"priority":1},)"
+        R"({"host":"view","type":"primary","service":"s","timeoutMs":800,"priority":2}],)"
+        R"("services":[],"limits":{}})");
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->m_routes.at("posting").m_class.m_rank == 1);
+    BOOST_TEST(decoded->m_routes.at("view").m_class.m_rank == 2);
+}
