Record a primary that restarted under another id without a promotion

A primary that crashes comes back with its log under a new id and still leads its term. The plan took it for a candidate, since its log is the longest, and ordered its promotion each 1.5 s: the platform accepts an order for the present primary and changes nothing, so the group stayed without a primary.

Now an upstream that leads the record's term, with a log as long as every replica's, is recorded as primary of that term, unless an ordered promotion of another may still take effect.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -109,6 +109,7 @@
 private:
     [[nodiscard]] bool is_fresh(const plan_upstream& upstream, steady_time now) const;
     [[nodiscard]] const plan_upstream* find_new_primary(const plan_view& view, steady_time now) const;
+    [[nodiscard]] const plan_upstream* find_restarted_primary(const plan_view& view, steady_time now) const;
     [[nodiscard]] const plan_upstream* best_candidate(const plan_view& view, steady_time now) const;
     [[nodiscard]] std::optional<plan_order>
     fence_old_primary(const plan_view& view, const plan_upstream& new_primary, steady_time now) const;
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -48,6 +48,11 @@
                                         [&](const upstream_id& each) { return each != primary; });
 }
 
+/// Returns whether `upstream` reports that it leads the term of the record.
+bool leads_term_of(const plan_view& view, const plan_upstream& upstream) {
+    return upstream.m_is_primary && upstream.m_term == view.m_record.m_term;
+}
+
 /// Returns whether no instance can use the old primary any more. What the coordinator sees of
 /// the primary says nothing about that: other instances may have a path to it.
 bool is_old_primary_unused(const plan_view& view) {
@@ -74,11 +79,32 @@
     return new_primary;
 }
 
+/// A term has one leader. An upstream that leads the record's term is therefore the recorded primary's
+/// server, restarted under another id. It is used only if its log holds as much as every replica's.
+const plan_upstream* promotion_plan::find_restarted_primary(const plan_view& view, steady_time now) const {
+    const plan_upstream* restarted = nullptr;
+    for (const plan_upstream& each : view.m_upstreams) {
+        if (each.m_registered && !each.m_leaving && is_fresh(each, now) && leads_term_of(view, each)) {
+            if (each.m_id == view.m_record.m_primary || restarted != nullptr) {
+                return nullptr;
+            }
+            restarted = &each;
+        }
+    }
+    const bool has_full_log =
+        restarted != nullptr &&
+        std::none_of(view.m_upstreams.begin(), view.m_upstreams.end(), [&](const plan_upstream& each) {
+            return is_fresh(each, now) && each.m_position > restarted->m_position;
+        });
+    return has_full_log ? restarted : nullptr;
+}
+
 const plan_upstream* promotion_plan::best_candidate(const plan_view& view, steady_time now) const {
     const plan_upstream* best = nullptr;
     for (const plan_upstream& each : view.m_upstreams) {
+        // A promotion of the upstream that leads already is accepted and changes nothing.
         if (each.m_id == view.m_record.m_primary || !each.m_registered || each.m_leaving ||
-            !is_fresh(each, now)) {
+            !is_fresh(each, now) || leads_term_of(view, each)) {
             continue;
         }
         if (best == nullptr || each.m_position > best->m_position) {
@@ -106,6 +132,17 @@
                              .m_term = new_primary->m_term,
                              .m_start = new_primary->m_position}};
     }
+    // In a new era the record may be older than the newest term; plan_in_new_era() finds that out first.
+    const plan_upstream* restarted =
+        is_before_era(view.m_record.m_epoch, view.m_era) ? nullptr : find_restarted_primary(view, now);
+    if (restarted != nullptr && !may_be_superseded(view, restarted->m_id)) {
+        group_record record = view.m_record;
+        record.m_epoch = next_number(record.m_epoch, view.m_era);
+        record.m_stage = group_stage::steady;
+        record.m_primary = restarted->m_id;
+        record.m_candidate = {};
+        return {.m_step = plan_step::write_record, .m_record = record};
+    }
     if (view.m_record.m_stage == group_stage::switching) {
         return plan_while_switching(view, now);
     }
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -395,3 +395,51 @@
     BOOST_TEST((order.m_record.m_stage == group_stage::switching));
     BOOST_TEST(order.m_record.m_epoch == next_number(5, 2));
 }
+
+// A promotion of the upstream that leads already is accepted and changes nothing: it was ordered again
+// and again, and the group stayed without a primary.
+BOOST_AUTO_TEST_CASE(a_primary_that_restarted_under_another_id_is_recorded_without_a_promotion) {
+    plan_view view = switching(false);
+    view.m_upstreams[0] = upstream("d", true, 100);
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::steady));
+    BOOST_TEST(order.m_record.m_primary.m_text == "d");
+    BOOST_TEST(order.m_record.m_term == 1U);
+    BOOST_TEST((order.m_record.m_start == at(1, 1)));
+    BOOST_TEST(order.m_record.m_epoch == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_primary_is_recorded_before_a_change_of_primary_begins) {
+    plan_view view = healthy();
+    view.m_upstreams[0] = upstream("d", true, 100);
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_primary.m_text == "d");
+    BOOST_TEST((order.m_record.m_stage == group_stage::steady));
+}
+
+// Acknowledged commits would be missing from an upstream that leads the term with less than its replicas.
+BOOST_AUTO_TEST_CASE(a_restarted_primary_that_lost_its_log_is_not_recorded) {
+    plan_view view = switching(false);
+    view.m_upstreams[0] = upstream("d", true, 10);
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step == plan_step::promote));
+    BOOST_TEST(order.m_target.m_text == "c");
+}
+
+// The commits made at the restarted primary until the promotion takes effect would be lost.
+BOOST_AUTO_TEST_CASE(a_restarted_primary_is_not_recorded_while_an_ordered_promotion_may_take_effect) {
+    plan_view view = switching(false);
+    view.m_upstreams[0] = upstream("d", true, 100);
+    view.m_pending_orders = {upstream_id{"c"}};
+    BOOST_TEST((promotion_plan(options).next(view, start).m_step != plan_step::write_record));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_primary_is_no_candidate_for_a_promotion) {
+    plan_view view = healthy();
+    view.m_upstreams[0] = upstream("d", true, 100);
+    view.m_pending_orders = {upstream_id{"b"}};
+    const plan_order order = promotion_plan(options).next(view, start);
+    BOOST_TEST((order.m_step != plan_step::write_record || order.m_record.m_candidate.m_text != "d"));
+}
