Order a rank by accounts and by latest start time where a deployment asks for it

Cause: with client accounts, one that floods a rank delays all others, since turns are taken between callers and an account has many. Where the routes of one rank have different latency targets, the caller with the shorter target waits for one that could wait longer.

Change: admission_queue has an order for each rank. The default is round-robin between callers, as before. `accounts` takes turns by the slot time that each account has had (start-time fair queueing: the expected time is charged at the start, the measured one replaces it at the end). `latest_start` orders by the last moment at which a start meets the target; work that can only be late goes after the rest. waiting_before() says what runs before a new ticket, make_room() removes the last ticket of the account that fills a queue. Nothing uses the new orders yet.

--- a/libs/decisions/include/anvilmount/decisions/admission.hpp
+++ b/libs/decisions/include/anvilmount/decisions/admission.hpp
@@ -6,6 +6,13 @@
 /// cannot fill the upstream. Within a rank callers are served round-robin, so
 /// that one busy caller cannot take the rank. A request that waits past its
 /// deadline is refused as not run.
+///
+/// Two other orders within a rank exist for deployments that need them. Accounts
+/// are served in turn, weighted by the slot time that each has had in the rank: an
+/// account that floods gets what the others leave. Within an account, or within the
+/// whole rank where there are no accounts, the request with the earliest latest
+/// start time goes first, and one that can only be late goes after those that can
+/// still be in time. See docs/design/17-scheduling-under-overload.md.
 #pragma once
 
 #include "anvilmount/base/time.hpp"
@@ -16,6 +23,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace anvilmount {
@@ -28,12 +36,23 @@
     int m_rank{2};             ///< most_urgent_rank .. least_urgent_rank.
     bool m_holds_connection{false};
     steady_time m_deadline{};
+    std::string m_account{};         ///< Client account; empty: none.
+    steady_time m_latest_start{};    ///< Last moment at which a start still meets the latency target.
+    microseconds m_expected_work{0}; ///< Expected slot time.
+};
+
+/// The order of the waiting requests of one rank.
+enum class rank_order {
+    callers,      ///< Callers in turn, each in order of arrival.
+    latest_start, ///< By latest start time, whoever the caller is.
+    accounts,     ///< Accounts in turn, weighted by their work; within an account by latest start time.
 };
 
 /// How many requests run at once, and the bounds of each rank (index: rank - 1).
 struct admission_options {
     int m_slots{3};
     std::array<rank_spec, rank_count> m_ranks{};
+    std::array<rank_order, rank_count> m_orders{}; ///< Default: callers.
 };
 
 enum class enqueue_result { queued, queue_full };
@@ -42,20 +61,32 @@
 public:
     explicit admission_queue(const admission_options& options) : m_options(options) {}
 
-    void set_options(const admission_options& options) { m_options = options; }
+    /// Waiting tickets of a rank whose order changes are put into the new order.
+    void set_options(const admission_options& options);
 
     /// Adds a ticket to the queue of its rank. Returns queue_full when the rank's
     /// queue limit is reached; a ticket that holds a connection is always queued.
     [[nodiscard]] enqueue_result enqueue(const admission_ticket& ticket);
 
+    /// When the queue of the ticket's rank is full and another account holds most of it, removes and
+    /// returns the last ticket of that account, so that a flood does not keep other accounts out.
+    [[nodiscard]] std::optional<admission_ticket> make_room(const admission_ticket& ticket);
+
     /// Removes and returns the next ticket to run, or nothing when none may run.
     /// Without `connection_available` only tickets that hold a connection may run.
-    /// The ticket occupies a slot until release().
-    [[nodiscard]] std::optional<admission_ticket> next(bool connection_available);
+    /// The ticket occupies a slot until release(). `now` tells which tickets can
+    /// still be in time; the order `callers` ignores it.
+    [[nodiscard]] std::optional<admission_ticket> next(bool connection_available, steady_time now = {});
 
     /// Frees the slot of a ticket of `rank` that next() returned.
     void release(int rank);
 
+    /// Frees the slot of a ticket that next() returned and that held it for `work`.
+    void release(const admission_ticket& ticket, microseconds work);
+
+    /// Waiting tickets that run before `ticket` if it is enqueued now.
+    [[nodiscard]] int waiting_before(const admission_ticket& ticket) const;
+
     /// Removes and returns all waiting tickets whose deadline has passed.
     [[nodiscard]] std::vector<admission_ticket> remove_expired(steady_time now);
 
@@ -82,9 +113,25 @@
         std::deque<admission_ticket> m_tickets; ///< Never empty.
     };
 
+    /// The waiting tickets of one account, and the work that it has had in the rank.
+    struct account_queue {
+        std::deque<admission_ticket> m_tickets; ///< By latest start time, then by arrival.
+        /// Slot time of the account, in the same measure as rank_queue::m_served_work: while tickets
+        /// run their expected work is counted.
+        microseconds m_work{0};
+        int m_running{0};
+    };
+
     struct rank_queue {
-        std::deque<caller_queue> m_callers; ///< In round-robin order, the next one in front.
-        int m_waiting{0};                   ///< Tickets in m_callers, without m_connection_holders.
+        /// In round-robin order, the next one in front. Empty unless the order is `callers`.
+        std::deque<caller_queue> m_callers;
+        /// By account. Empty if the order is `callers`; one entry at most, without a name, if it is
+        /// `latest_start`. An account without tickets stays while it is ahead of m_served_work.
+        std::map<std::string, account_queue> m_accounts;
+        /// Greatest work of an account when its turn came. An account that returns begins here at least:
+        /// time in which it asked for nothing gives it no claim on the others. Never falls.
+        microseconds m_served_work{0};
+        int m_waiting{0}; ///< Tickets in m_callers and m_accounts, without m_connection_holders.
         std::deque<admission_ticket> m_connection_holders; ///< Served before m_callers.
         int m_running{0};
     };
@@ -96,7 +143,19 @@
     /// Whole slots that the floor of `rank` guarantees.
     [[nodiscard]] int floor_slots(int rank) const;
     [[nodiscard]] bool has_runnable(int rank, bool connection_available) const;
-    std::optional<admission_ticket> dequeue(int rank, bool connection_available);
+    std::optional<admission_ticket> dequeue(int rank, bool connection_available, steady_time now);
+    [[nodiscard]] rank_order order_of(int rank) const {
+        return m_options.m_orders[static_cast<std::size_t>(rank - 1)];
+    }
+    /// Adds a ticket that holds no connection.
+    void insert(const admission_ticket& ticket);
+    admission_ticket take_from_callers(rank_queue& queue);
+    admission_ticket take_from_accounts(rank_queue& queue, steady_time now);
+    /// Counts the expected work of a ticket that starts.
+    void charge(const admission_ticket& ticket);
+    [[nodiscard]] std::string account_key(const admission_ticket& ticket) const;
+    /// Removes accounts that have nothing waiting or running and no work to make up for.
+    static void forget_idle_accounts(rank_queue& queue);
 
     admission_options m_options;
     std::array<rank_queue, rank_count> m_queues; ///< Index: rank - 1.
