Use the orders of a rank where accounts or different latency targets call for them

Cause: the queue's new orders need the account, the latency target and the measured slot time, and the refusal of work that would start too late counted all waiting work of the rank, so that a flood had the requests of other accounts refused.

Change: rank_orders_of() derives the order of each rank from the configuration: accounts where there are any, latest start for a rank whose routes of one group have different targets, else callers in turn. group_request and pool_work carry the account. The expected wait counts what runs before the new work in the order of its rank. A full queue refuses the last work of the account that fills it (counter statements_displaced).

--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -13,6 +13,7 @@
 #include "anvilmount/decisions/upstream_choice.hpp"
 #include "anvilmount/gateway/upstream_pool.hpp"
 
+#include <array>
 #include <functional>
 #include <list>
 #include <map>
@@ -31,8 +32,9 @@
 /// A request of a session to its group.
 struct group_request {
     std::uint64_t m_caller{0};
-    std::string m_id{}; ///< Statement id, for the log.
-    int m_rank{2};      ///< Admission rank; lower ranks are more urgent.
+    std::string m_account{}; ///< Client account; empty: none.
+    std::string m_id{};      ///< Statement id, for the log.
+    int m_rank{2};           ///< Admission rank; lower ranks are more urgent.
     request_placement m_placement{request_placement::primary};
     bool m_retryable{false};          ///< Reads and BEGIN: running them twice is harmless.
     bool m_acknowledges_write{false}; ///< Success tells the caller that a write is committed.
@@ -69,7 +71,8 @@
     bool m_has_connections{true};
     /// A coordinator keeps one connection per upstream in any case, to poll its status.
     bool m_is_coordinator{false};
-    milliseconds m_drain_limit{0}; ///< See drain_window.hpp.
+    milliseconds m_drain_limit{0};                      ///< See drain_window.hpp.
+    std::array<rank_order, rank_count> m_rank_orders{}; ///< Index: rank - 1; see rank_orders.hpp.
 };
 
 /// Places the requests for one group; see the file comment. Not thread-safe.
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -12,6 +12,7 @@
 #include "anvilmount/gateway/ports.hpp"
 #include "anvilmount/observe/metrics.hpp"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <list>
@@ -67,13 +68,16 @@
 /// One statement to run at the upstream.
 struct pool_work {
     std::uint64_t m_caller{0};
+    std::string m_account{}; ///< Client account; empty: none.
     int m_rank{2};
+    steady_time m_target_time{};      ///< An answer after this time misses the latency target.
     steady_time m_send_deadline{};    ///< Refused as not_run if not sent by then.
     steady_time m_answer_deadline{};  ///< Reported as lost if not answered by then.
     bool m_retryable{false};          ///< May be retried elsewhere when the upstream stops responding.
     bool m_primary_only{false};       ///< Only the primary may run it; counted by running_at_primary().
     connection_handle m_connection{}; ///< Set when a transaction already holds a connection.
     bool m_had_connection{false};     ///< Set by the pool: a transaction held m_connection already.
+    microseconds m_expected_work{0};  ///< Set by the pool: slot time that its account is charged at first.
     std::shared_ptr<const session_values> m_values{};
     outgoing_statement m_statement{};
     /// Sent before m_statement unless it is already prepared on the connection.
@@ -86,7 +90,8 @@
     int m_connections{2};   ///< Connections that this instance may open.
     int m_max_in_flight{2}; ///< Concurrent statements of this instance; the most urgent rank may exceed it.
     int m_min_idle{1};      ///< Idle connections that are kept open.
-    milliseconds m_drain_limit{0}; ///< See drain_window.hpp.
+    milliseconds m_drain_limit{0};                      ///< See drain_window.hpp.
+    std::array<rank_order, rank_count> m_rank_orders{}; ///< Index: rank - 1.
 };
 
 /// Runs statements at one upstream; see the file comment. Not thread-safe.
@@ -145,8 +150,10 @@
     [[nodiscard]] bool is_wrong_upstream() const { return m_wrong_upstream; }
     /// Number of statements that run or wait.
     [[nodiscard]] int in_progress() const { return m_queue.running() + m_queue.waiting(); }
-    /// Estimates how long new work of `rank` waits until it is sent.
-    [[nodiscard]] milliseconds expected_wait(int rank) const;
+    /// Estimates how long new work waits until it is sent. The account and the target time matter
+    /// only where the rank is ordered by them.
+    [[nodiscard]] milliseconds expected_wait(int rank, const std::string& account = {},
+                                             steady_time target_time = {}) const;
 
     /// When the upstream last answered or accepted a connection.
     [[nodiscard]] steady_time last_response_at() const { return m_last_response_at; }
@@ -172,6 +179,9 @@
         steady_time m_since{};
     };
 
+    /// The queue's view of new work.
+    [[nodiscard]] admission_ticket ticket_for(int rank, const std::string& account,
+                                              steady_time target_time) const;
     void send_next_internal();
     /// Fails internal statements that have waited for a connection since `queued_before` or earlier.
     void expire_internal(steady_time queued_before);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "anvilmount/gateway/gateway.hpp"
 
 #include "anvilmount/decisions/drain_window.hpp"
+#include "anvilmount/gateway/rank_orders.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -161,7 +162,8 @@
                 std::any_of(holders.begin(), holders.end(),
                             [&](const holder_candidate& each) { return each.m_name == m_options.m_name; }),
             .m_is_coordinator = m_fleet_coordinator.is_active(),
-            .m_drain_limit = m_options.m_drain_limit};
+            .m_drain_limit = m_options.m_drain_limit,
+            .m_rank_orders = rank_orders_of(m_configuration, name)};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -61,7 +61,8 @@
         return {.m_connections = 1,
                 .m_max_in_flight = 1,
                 .m_min_idle = m_options.m_is_coordinator ? 1 : 0,
-                .m_drain_limit = m_options.m_drain_limit};
+                .m_drain_limit = m_options.m_drain_limit,
+                .m_rank_orders = m_options.m_rank_orders};
     }
     const int max_connections =
         m_slow_start_until ? 1
@@ -72,7 +73,8 @@
     return {.m_connections = max_connections,
             .m_max_in_flight =
                 std::clamp(std::min(max_connections, slot_share), min_concurrent, max_concurrent),
-            .m_drain_limit = m_options.m_drain_limit};
+            .m_drain_limit = m_options.m_drain_limit,
+            .m_rank_orders = m_options.m_rank_orders};
 }
 
 void group_service::set_options(const group_options& options) {
@@ -267,7 +269,8 @@
         defer_or_refuse(item);
         return;
     }
-    if (m_clock.m_now() + pool->expected_wait(request.m_rank) > latest_start(request)) {
+    const milliseconds wait = pool->expected_wait(request.m_rank, request.m_account, request.m_target_time);
+    if (m_clock.m_now() + wait > latest_start(request)) {
         // The request would start too late; the slots go to requests that can still be on time.
         refuse_async(item, result_code::queue_full);
         return;
@@ -322,7 +325,9 @@
     statement.m_min_position = min_position;
     ++item->m_attempts;
     pool->submit({.m_caller = request.m_caller,
+                  .m_account = request.m_account,
                   .m_rank = request.m_rank,
+                  .m_target_time = request.m_target_time,
                   .m_send_deadline = latest_start(request),
                   .m_answer_deadline = request.m_deadline,
                   .m_retryable = request.m_retryable,
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -43,7 +43,8 @@
         .m_slots = slots,
         .m_ranks = {rank_spec{.m_floor = 0.0, .m_greatest_share = 1.0, .m_queue_limit = 500},
                     rank_spec{.m_floor = 0.1, .m_greatest_share = ordinary_share, .m_queue_limit = 500},
-                    rank_spec{.m_floor = 0.02, .m_greatest_share = ordinary_share, .m_queue_limit = 200}}};
+                    rank_spec{.m_floor = 0.02, .m_greatest_share = ordinary_share, .m_queue_limit = 200}},
+        .m_orders = limits.m_rank_orders};
 }
 
 pool_options connection_options(int limit, int min_idle) {
@@ -89,12 +90,21 @@
 
 void upstream_pool::submit(pool_work work) {
     const std::uint64_t id = m_next_number++;
-    const admission_ticket ticket{.m_id = id,
-                                  .m_caller = work.m_caller,
-                                  .m_rank = work.m_rank,
-                                  .m_holds_connection = work.m_connection != nullptr,
-                                  .m_deadline = work.m_send_deadline};
+    admission_ticket ticket = ticket_for(work.m_rank, work.m_account, work.m_target_time);
+    ticket.m_id = id;
+    ticket.m_caller = work.m_caller;
+    ticket.m_holds_connection = work.m_connection != nullptr;
+    ticket.m_deadline = work.m_send_deadline;
+    work.m_expected_work = ticket.m_expected_work;
     m_work.emplace(id, std::move(work));
+    if (const auto displaced = m_queue.make_room(ticket)) {
+        m_metrics.count("statements_displaced");
+        m_clock.m_after(milliseconds{0}, [this, displaced_id = displaced->m_id, alive = m_alive] {
+            if (*alive) {
+                finish(displaced_id, {.m_outcome = work_outcome::not_run});
+            }
+        });
+    }
     const bool queued = m_queue.enqueue(ticket) == enqueue_result::queued;
     m_clock.m_after(milliseconds{0}, [this, id, queued, alive = m_alive] {
         if (!*alive) {
@@ -107,12 +117,21 @@
     });
 }
 
+admission_ticket upstream_pool::ticket_for(int rank, const std::string& account,
+                                           steady_time target_time) const {
+    const microseconds work = std::max(answer_time(), min_answer_time);
+    return {.m_rank = rank,
+            .m_account = account,
+            .m_latest_start = target_time - work,
+            .m_expected_work = work};
+}
+
 void upstream_pool::dispatch() {
     while (!m_internal_queue.empty() && !m_idle.empty()) {
         send_next_internal();
     }
     for (;;) {
-        const auto ticket = m_queue.next(!m_idle.empty());
+        const auto ticket = m_queue.next(!m_idle.empty(), m_clock.m_now());
         if (!ticket) {
             break;
         }
@@ -120,7 +139,7 @@
         internal_check(found != m_work.end(), "each queued ticket has an entry in m_work");
         pool_work& work = found->second;
         if (work.m_connection && work.m_connection->m_state == pooled_connection::state::closed) {
-            m_queue.release(ticket->m_rank);
+            m_queue.release(*ticket, microseconds{0});
             finish(ticket->m_id,
                    {.m_outcome = work_outcome::not_run, .m_code = result_code::transaction_lost});
             continue;
@@ -188,7 +207,9 @@
     if (running != m_running.end()) {
         result.m_sent_at = running->second;
         m_running.erase(running);
-        m_queue.release(work.m_rank);
+        m_queue.release(
+            {.m_rank = work.m_rank, .m_account = work.m_account, .m_expected_work = work.m_expected_work},
+            std::chrono::duration_cast<microseconds>(m_clock.m_now() - result.m_sent_at));
     }
     work.m_done(std::move(result));
 }
@@ -492,11 +513,9 @@
     }
 }
 
-milliseconds upstream_pool::expected_wait(int rank) const {
-    int ahead = 0;
-    for (int each = most_urgent_rank; each <= rank; ++each) {
-        ahead += m_queue.waiting(each);
-    }
+milliseconds upstream_pool::expected_wait(int rank, const std::string& account,
+                                          steady_time target_time) const {
+    const int ahead = m_queue.waiting_before(ticket_for(rank, account, target_time));
     const int free = m_limits.m_max_in_flight - m_queue.running();
     if (ahead < free || (rank == most_urgent_rank && ahead == 0 && m_queue.running() < m_queue.slots())) {
         return milliseconds{0};
