Serve client accounts: keys checked for each statement, connections of one account each

With strict revocation keyed statements need a proof that the configuration is the newest. Connections to upstreams carry their account's name; work whose account has no idle connection keeps its slot while one is opened, if need be in the place of the one idle for longest. Without accounts the pool opens what it opened before.

--- a/libs/decisions/include/anvilmount/decisions/pool_accounting.hpp
+++ b/libs/decisions/include/anvilmount/decisions/pool_accounting.hpp
@@ -29,6 +29,14 @@
     /// need one. The pool calls record_opening() for each.
     [[nodiscard]] int connections_to_open(int waiting, steady_time now) const;
 
+    /// Returns how many connections may be opened at `now`, whether needed or not.
+    [[nodiscard]] int room(steady_time now) const;
+
+    /// Whether a connection may be opened at `now`, if need be in the place of an idle one.
+    [[nodiscard]] bool may_open(steady_time now) const {
+        return now >= m_next_open_at && (m_consecutive_failures == 0 || m_opening == 0);
+    }
+
     /// Returns whether to close a connection that has been idle since `idle_since`.
     /// Idle connections above a lowered limit are closed without waiting.
     [[nodiscard]] bool should_close_idle(steady_time idle_since, steady_time now) const;
@@ -55,6 +63,7 @@
     [[nodiscard]] int busy() const { return m_busy; }
     [[nodiscard]] int total() const { return m_opening + m_idle + m_busy; }
     [[nodiscard]] int limit() const { return m_options.m_limit; }
+    [[nodiscard]] int min_idle() const { return m_options.m_min_idle; }
 
     /// Consecutive failed connects; 0 after a successful one.
     [[nodiscard]] int consecutive_failures() const { return m_consecutive_failures; }
--- a/libs/decisions/src/pool_accounting.cpp
+++ b/libs/decisions/src/pool_accounting.cpp
@@ -8,7 +8,7 @@
 
 namespace anvilmount {
 
-int pool_accounting::connections_to_open(int waiting, steady_time now) const {
+int pool_accounting::room(steady_time now) const {
     if (now < m_next_open_at) {
         return 0;
     }
@@ -16,8 +16,13 @@
     if (m_consecutive_failures > 0) {
         return m_opening == 0 && total() < m_options.m_limit ? 1 : 0;
     }
+    return std::max(0, m_options.m_limit - total());
+}
+
+int pool_accounting::connections_to_open(int waiting, steady_time now) const {
+    const int most = room(now);
     const int wanted = waiting + m_options.m_min_idle - m_idle - m_opening;
-    return std::clamp(wanted, 0, std::max(0, m_options.m_limit - total()));
+    return m_consecutive_failures > 0 ? most : std::clamp(wanted, 0, most);
 }
 
 bool pool_accounting::should_close_idle(steady_time idle_since, steady_time now) const {
--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -106,6 +106,8 @@
     /// Whether `current` starts an operation and the configuration here is older than required.
     [[nodiscard]] bool needs_newer_configuration(const statement& current) const;
     void process(const statement& current);
+    /// Refuses a statement whose permit is not granted; returns whether it did.
+    [[nodiscard]] bool refuse_without_permit(const statement& current);
     void begin(const statement& current);
     void commit(const statement& current);
     void roll_back();
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -5,6 +5,7 @@
 /// the coordinator record and changes the groups' primaries. The others are on standby.
 #pragma once
 
+#include "anvilmount/decisions/configuration_proof.hpp"
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/group_holders.hpp"
 #include "anvilmount/decisions/process_order.hpp"
@@ -56,6 +57,8 @@
     fleet_intervals m_large_fleet{.m_heartbeat_interval = milliseconds{3000},
                                   .m_poll_interval = milliseconds{10000},
                                   .m_heartbeat_batch_delay = milliseconds{1500}};
+    /// See configuration_proof.hpp. It shortens the intervals above.
+    std::optional<milliseconds> m_revocation_limit{};
 };
 
 /// What the coordinator needs of the outside.
@@ -126,6 +129,9 @@
         return m_last_heartbeat_at.value_or(steady_time{});
     }
 
+    /// Whether keys of client accounts may be checked against the configuration known here.
+    [[nodiscard]] const configuration_proof& proof() const { return m_proof; }
+
     /// When the newest known state of the members table was read.
     [[nodiscard]] steady_time members_polled_at() const { return m_directory.read_at(); }
 
@@ -147,7 +153,7 @@
 
     void on_records();
     void adopt_group_record(const group_name& name, group_service& group);
-    [[nodiscard]] const fleet_intervals& intervals() const;
+    [[nodiscard]] fleet_intervals intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
     [[nodiscard]] bool has_older_version() const;
     [[nodiscard]] member_record own_record() const;
@@ -197,6 +203,7 @@
     confirmation_lease& m_lease;
     group_map& m_groups;
     metrics& m_metrics;
+    configuration_proof m_proof;
     member_directory m_directory;
     table_follower m_records;
     era_recovery m_recovery;
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -116,6 +116,16 @@
     /// taken out may end at any moment.
     [[nodiscard]] bool accepts_sessions() const;
 
+    /// Returns the client account whose key `key` is: the empty one on a public route and without client
+    /// accounts; nothing when no account has the key.
+    [[nodiscard]] std::optional<std::string> find_account(const std::string& database,
+                                                          const std::string& key) const;
+
+    /// Checks a statement that was received on `database` from a caller with `key`, in a session of
+    /// `account`. Called where the statement arrives, for each one.
+    [[nodiscard]] statement_permit check_statement(const std::string& database, const std::string& key,
+                                                   const std::string& account);
+
     /// Returns the instance that a new session of client account `account` on `database` is forwarded
     /// to; nothing when it is served here. `account`: empty without one.
     [[nodiscard]] std::optional<endpoint> forwarding_target(const std::string& database,
--- a/libs/gateway/include/anvilmount/gateway/messages.hpp
+++ b/libs/gateway/include/anvilmount/gateway/messages.hpp
@@ -29,6 +29,14 @@
     malformed, ///< The line is not a statement of the protocol.
 };
 
+/// What the check of the caller's key against the newest configuration known here found.
+enum class statement_permit {
+    granted,
+    unauthenticated, ///< The key belongs to no client account.
+    unconfirmed,     ///< Whether the configuration known here is the newest was not proved lately.
+    account_changed, ///< The key, or the database, belongs to another account than the session.
+};
+
 /// One statement that a caller sends.
 struct statement {
     std::string m_id{}; ///< Chosen by the caller, forwarded to the upstream, and logged.
@@ -37,6 +45,8 @@
     std::string m_name{};     ///< Session value or prepared statement that the statement refers to.
     std::string m_argument{}; ///< Value to set, template to prepare, or arguments to execute with.
     bool m_writes{false};     ///< For kinds write and prepare.
+    /// Found where the statement arrived from the caller.
+    statement_permit m_permit{statement_permit::granted};
 };
 
 /// Transaction state of a session after a statement.
--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -73,11 +73,12 @@
     std::function<void()> m_close{};
 };
 
-/// Opens a connection to the upstream at `address`. The connect fails with
-/// connect_failure::wrong_upstream unless that upstream is `expected`.
-using upstream_connector =
-    std::function<upstream_channel(const endpoint& address, const group_name& group,
-                                   const upstream_id& expected, upstream_channel_events)>;
+/// Opens a connection to the upstream at `address` for the statements of client account `account`, which
+/// is empty without one. The connect fails with connect_failure::wrong_upstream unless that upstream is
+/// `expected`.
+using upstream_connector = std::function<upstream_channel(
+    const endpoint& address, const group_name& group, const upstream_id& expected,
+    const std::string& account, upstream_channel_events)>;
 
 /// Parses the answer to a statement of kind::status; unset if the answer has another format.
 using status_reader = std::function<std::optional<upstream_status>(const answer&)>;
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -2,7 +2,9 @@
 /// The connection pool of this instance for one upstream, with an admission queue.
 /// Work waits in order of rank until a slot and a connection are free. A transaction
 /// holds its connection from its first statement to its end. A connection whose
-/// state is uncertain is closed, never reused.
+/// state is uncertain is closed, never reused. A connection serves the statements of
+/// one client account; work whose account has no idle connection keeps its slot while
+/// one is opened for it, if need be in the place of the connection idle for longest.
 #pragma once
 
 #include "anvilmount/decisions/admission.hpp"
@@ -20,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace anvilmount::gateway {
 
@@ -30,6 +33,7 @@
     enum class state { connecting, idle, in_use, closed };
 
     std::uint64_t m_number{0};
+    std::string m_account{}; ///< The only client account whose statements it serves; empty: none.
     state m_state{state::connecting};
     upstream_channel m_channel{};
     session_values m_session_values{};  ///< Values set on the connection.
@@ -67,6 +71,7 @@
 /// One statement to run at the upstream.
 struct pool_work {
     std::uint64_t m_caller{0};
+    std::string m_account{}; ///< Client account; empty without one.
     int m_rank{2};
     steady_time m_send_deadline{};    ///< Refused as not_run if not sent by then.
     steady_time m_answer_deadline{};  ///< Reported as lost if not answered by then.
@@ -177,7 +182,18 @@
     void expire_internal(steady_time queued_before);
     /// Opens as many connections as the waiting work and the limits allow.
     void open_connections();
-    void start_connection();
+    void start_connection(const std::string& account);
+    /// As open_connections(), when work belongs to client accounts: opens connections for the work in
+    /// m_awaiting_connection, and beyond these only what the instance's own statements need.
+    void open_account_connections();
+    /// Whether a connection can be had for one more work, be it opened for it.
+    [[nodiscard]] bool can_provide_connection() const;
+    /// Returns how many of the works in m_awaiting_connection have no connection opening for them.
+    [[nodiscard]] int uncovered_work() const;
+    /// Returns for which accounts connections have to be opened, one entry each.
+    [[nodiscard]] std::vector<std::string> uncovered_accounts() const;
+    /// Sends work that awaits a connection on those that have become idle.
+    void serve_awaiting();
     void on_ready(const connection_handle& connection);
     void on_connect_failed(const connection_handle& connection, connect_failure cause);
     void on_answer(const connection_handle& connection, answer reply);
@@ -186,8 +202,9 @@
     void mark_failing(const char* reason);
     /// Sends waiting work as long as slots and connections are free.
     void dispatch();
-    /// Takes an idle connection, preferably one with the session values `wanted`.
-    connection_handle acquire_idle(const session_values& wanted);
+    /// Takes an idle connection of the work's account, preferably one with its session values; null if
+    /// there is none.
+    connection_handle acquire_idle(const pool_work& work);
     /// Sends the work, preceded by the statements that set its session values and prepare it.
     void send(const connection_handle& connection, std::uint64_t work_id, pool_work& work);
     void finish(std::uint64_t work_id, work_result result);
@@ -212,6 +229,10 @@
     pool_accounting m_accounting;
     std::map<std::uint64_t, pool_work> m_work;      ///< Work that waits or runs, by work id.
     std::map<std::uint64_t, steady_time> m_running; ///< When each running work was sent, by work id.
+    /// Work that holds a slot and awaits a connection of its account, oldest first.
+    std::deque<std::uint64_t> m_awaiting_connection;
+    /// Set by the first work of a client account, for good.
+    bool m_serves_accounts{false};
     /// Receivers of answers that belong to no queued work (internal statements, rollbacks and
     /// answers after their deadline), by connection number.
     std::map<std::uint64_t, std::function<void(std::optional<answer>)>> m_reply_handlers;
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -116,7 +116,40 @@
     return !m_transaction && starts_operation && m_context.m_revision() < m_required_revision;
 }
 
+bool caller_session::refuse_without_permit(const statement& current) {
+    const bool ends_session = current.m_permit == statement_permit::unauthenticated ||
+                              current.m_permit == statement_permit::account_changed;
+    const bool runs_nothing =
+        current.m_kind == statement_kind::rollback || (m_transaction && m_transaction->m_failed);
+    if (current.m_permit == statement_permit::granted || (!ends_session && runs_nothing)) {
+        return false;
+    }
+    result_code code = m_transaction ? result_code::transaction_lost : result_code::account_unconfirmed;
+    std::string reason = "the account cannot be confirmed; retry in 500 ms";
+    if (current.m_permit == statement_permit::account_changed) {
+        reason = "the account has changed; connect again";
+    } else if (current.m_permit == statement_permit::unauthenticated) {
+        code = result_code::unauthenticated;
+        reason = "unknown key";
+    }
+    if (!ends_session) {
+        if (m_transaction) {
+            fail_transaction();
+        }
+        refuse(code, reason);
+        return true;
+    }
+    detach_connection(true);
+    m_transaction.reset();
+    refuse(code, reason);
+    close();
+    return true;
+}
+
 void caller_session::process(const statement& current) {
+    if (refuse_without_permit(current)) {
+        return;
+    }
     if (needs_newer_configuration(current)) {
         refuse(result_code::queue_full, "the configuration here is behind");
         close();
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -96,7 +96,7 @@
 fleet_coordinator::fleet_coordinator(coordinator_options options, coordinator_ports ports,
                                      confirmation_lease& lease, group_map& groups, metrics& counters)
     : m_options(std::move(options)), m_ports(std::move(ports)), m_lease(lease), m_groups(groups),
-      m_metrics(counters), m_directory(m_options.m_name),
+      m_metrics(counters), m_proof(m_options.m_revocation_limit), m_directory(m_options.m_name),
       m_records({.m_table = records_table}, *m_ports.m_clock, *m_ports.m_store,
                 [this](const auto&) { on_records(); }),
       m_recovery({.m_clock = m_ports.m_clock,
@@ -255,9 +255,10 @@
     m_heartbeat_in_flight = true;
     m_coordinator_write_in_flight = m_coordinator_write_in_flight || m_is_active;
     const steady_time now = m_ports.m_clock->m_now();
-    m_next_heartbeat =
-        now + (m_is_active ? coordinator_renewal_interval : intervals().m_heartbeat_interval);
+    m_next_heartbeat = now + (m_is_active ? m_proof.limit_interval(coordinator_renewal_interval)
+                                          : intervals().m_heartbeat_interval);
     const member_record record = own_record();
+    const bool proves_configuration = m_ports.m_configuration.m_known().has_value();
     const bool renews = m_is_active;
     const bool writes_record =
         renews || m_reported_record != record || m_must_write_record || has_older_version();
@@ -278,25 +279,28 @@
         change.m_writes.push_back(
             {.m_table = members_table, .m_key = coordinator_key, .m_value = to_text(record_with_orders())});
     }
-    m_ports.m_store->m_change(
-        change, [this, now, record, renews, writes_record, written = change.m_writes](store_answer reply) {
-            if (!writes_record && reply.m_status == store_status::done && !reply.m_renewed) {
-                // The relay is of a version that does not publish renewals.
-                reply.m_status = store_status::refused;
-            }
-            if (reply.m_status == store_status::done && writes_record) {
-                m_reported_record = record;
-                m_must_write_record = false;
-                store_row stored = written.front();
-                stored.m_version = reply.m_version;
-                adopt_own_row(&stored);
-            } else if (reply.m_status != store_status::done && reply.m_status != store_status::conflict) {
-                // It may still be made, late.
-                m_must_write_record = true;
-            }
-            m_coordinator_write_in_flight = m_coordinator_write_in_flight && !renews;
-            on_heartbeat(now, renews, writes_record, reply);
-        });
+    m_ports.m_store->m_change(change, [this, now, record, renews, writes_record, proves_configuration,
+                                       written = change.m_writes](store_answer reply) {
+        if (!writes_record && reply.m_status == store_status::done && !reply.m_renewed) {
+            // The relay is of a version that does not publish renewals.
+            reply.m_status = store_status::refused;
+        }
+        if (reply.m_status == store_status::done && writes_record) {
+            m_reported_record = record;
+            m_must_write_record = false;
+            store_row stored = written.front();
+            stored.m_version = reply.m_version;
+            adopt_own_row(&stored);
+        } else if (reply.m_status != store_status::done && reply.m_status != store_status::conflict) {
+            // It may still be made, late.
+            m_must_write_record = true;
+        }
+        if (reply.m_status == store_status::done && proves_configuration) {
+            m_proof.record(now);
+        }
+        m_coordinator_write_in_flight = m_coordinator_write_in_flight && !renews;
+        on_heartbeat(now, renews, writes_record, reply);
+    });
 }
 
 void fleet_coordinator::on_heartbeat(steady_time sent_at, bool renewed, bool wrote_record,
@@ -608,8 +612,11 @@
     });
 }
 
-const fleet_intervals& fleet_coordinator::intervals() const {
-    return is_large_fleet() ? m_options.m_large_fleet : m_options.m_small_fleet;
+fleet_intervals fleet_coordinator::intervals() const {
+    fleet_intervals intervals = is_large_fleet() ? m_options.m_large_fleet : m_options.m_small_fleet;
+    intervals.m_heartbeat_interval = m_proof.limit_interval(intervals.m_heartbeat_interval);
+    intervals.m_heartbeat_batch_delay = m_proof.limit_batch_delay(intervals.m_heartbeat_batch_delay);
+    return intervals;
 }
 
 bool fleet_coordinator::is_alive(const known_member& peer) const {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -65,7 +65,8 @@
                            .m_forwarding_address = m_options.m_forwarding_address,
                            .m_store_relay_address = m_options.m_store_relay_address,
                            .m_data_centre = m_options.m_data_centre,
-                           .m_processor_millis = m_options.m_processor_millis},
+                           .m_processor_millis = m_options.m_processor_millis,
+                           .m_revocation_limit = m_options.m_revocation_limit},
                           {.m_clock = &m_ports.m_clock,
                            .m_store = &m_store.port(),
                            .m_promote = m_ports.m_promote,
@@ -310,6 +311,34 @@
     return !m_leaving_since || m_ports.m_clock.m_now() < *m_leaving_since + balancer_removal_time;
 }
 
+std::optional<std::string> gateway::find_account(const std::string& database,
+                                                 const std::string& key) const {
+    const auto route = m_configuration.m_routes.find(database);
+    const bool is_public = route != m_configuration.m_routes.end() && route->second.m_is_public;
+    if (is_public || m_configuration.m_accounts.empty()) {
+        return std::string{};
+    }
+    const auto found = m_configuration.m_account_keys.find(key);
+    return found == m_configuration.m_account_keys.end() ? std::nullopt : std::optional(found->second);
+}
+
+statement_permit gateway::check_statement(const std::string& database, const std::string& key,
+                                          const std::string& account) {
+    const auto found = find_account(database, key);
+    if (!found) {
+        m_metrics.count("statements_unauthenticated");
+        return statement_permit::unauthenticated;
+    }
+    if (*found != account) {
+        return statement_permit::account_changed;
+    }
+    if (!account.empty() && !m_fleet_coordinator.proof().holds(m_ports.m_clock.m_now())) {
+        m_metrics.count("statements_unconfirmed");
+        return statement_permit::unconfirmed;
+    }
+    return statement_permit::granted;
+}
+
 std::optional<endpoint> gateway::forwarding_target(const std::string& database,
                                                    const std::string& /*account*/) {
     const auto route = m_configuration.m_routes.find(database);
@@ -359,6 +388,11 @@
     if (!m_configuration.m_routes.contains(database)) {
         return fail(result_code::unknown_group, "no such database");
     }
+    const bool needs_account =
+        !m_configuration.m_accounts.empty() && !m_configuration.m_routes.at(database).m_is_public;
+    if (needs_account && !m_configuration.m_accounts.contains(account)) {
+        return fail(result_code::account_unconfirmed, "the account is not known here");
+    }
     if (!accepts_sessions()) {
         return fail(result_code::instance_leaving, "leaving");
     }
@@ -366,8 +400,8 @@
         return fail(result_code::too_many_callers, "too many callers");
     }
     const std::uint64_t number = m_next_number++;
-    auto session =
-        std::make_shared<caller_session>(number, database, account, make_session_host(), std::move(out));
+    auto session = std::make_shared<caller_session>(
+        number, database, needs_account ? account : std::string{}, make_session_host(), std::move(out));
     if (m_leaving_since) {
         session->drain_after_next_operation();
     }
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -322,6 +322,7 @@
     statement.m_min_position = min_position;
     ++item->m_attempts;
     pool->submit({.m_caller = request.m_caller,
+                  .m_account = request.m_account,
                   .m_rank = request.m_rank,
                   .m_send_deadline = latest_start(request),
                   .m_answer_deadline = request.m_deadline,
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -94,6 +94,7 @@
                                   .m_rank = work.m_rank,
                                   .m_holds_connection = work.m_connection != nullptr,
                                   .m_deadline = work.m_send_deadline};
+    m_serves_accounts = m_serves_accounts || !work.m_account.empty();
     m_work.emplace(id, std::move(work));
     const bool queued = m_queue.enqueue(ticket) == enqueue_result::queued;
     m_clock.m_after(milliseconds{0}, [this, id, queued, alive = m_alive] {
@@ -111,8 +112,9 @@
     while (!m_internal_queue.empty() && !m_idle.empty()) {
         send_next_internal();
     }
+    serve_awaiting();
     for (;;) {
-        const auto ticket = m_queue.next(!m_idle.empty());
+        const auto ticket = m_queue.next(can_provide_connection());
         if (!ticket) {
             break;
         }
@@ -126,18 +128,75 @@
             continue;
         }
         work.m_had_connection = work.m_connection != nullptr;
-        const connection_handle connection =
-            work.m_connection ? work.m_connection : acquire_idle(*work.m_values);
+        const connection_handle connection = work.m_connection ? work.m_connection : acquire_idle(work);
+        if (!connection) {
+            m_awaiting_connection.push_back(ticket->m_id);
+            open_account_connections();
+            continue;
+        }
         send(connection, ticket->m_id, work);
     }
     open_connections();
 }
 
-connection_handle upstream_pool::acquire_idle(const session_values& wanted) {
-    auto chosen = std::find_if(m_idle.rbegin(), m_idle.rend(), [&](const connection_handle& connection) {
-        return connection->m_session_values == wanted;
-    });
-    const auto position = chosen != m_idle.rend() ? std::prev(chosen.base()) : std::prev(m_idle.end());
+bool upstream_pool::can_provide_connection() const {
+    const int uncovered = uncovered_work();
+    const steady_time now = m_clock.m_now();
+    const int available = m_accounting.idle() + (m_serves_accounts ? m_accounting.room(now) : 0);
+    return available > uncovered;
+}
+
+std::vector<std::string> upstream_pool::uncovered_accounts() const {
+    std::map<std::string, int> opening;
+    for (const connection_handle& connection : m_open_connections) {
+        if (connection->m_state == pooled_connection::state::connecting) {
+            ++opening[connection->m_account];
+        }
+    }
+    std::vector<std::string> uncovered;
+    for (const std::uint64_t id : m_awaiting_connection) {
+        const std::string& account = m_work.at(id).m_account;
+        if (opening[account]-- <= 0) {
+            uncovered.push_back(account);
+        }
+    }
+    return uncovered;
+}
+
+int upstream_pool::uncovered_work() const {
+    return m_awaiting_connection.empty() ? 0 : static_cast<int>(uncovered_accounts().size());
+}
+
+void upstream_pool::serve_awaiting() {
+    const std::deque<std::uint64_t> awaiting = m_awaiting_connection;
+    for (const std::uint64_t id : awaiting) {
+        const auto work = m_work.find(id);
+        if (work == m_work.end()) {
+            continue;
+        }
+        if (const connection_handle connection = acquire_idle(work->second)) {
+            std::erase(m_awaiting_connection, id);
+            send(connection, id, work->second);
+        }
+    }
+}
+
+connection_handle upstream_pool::acquire_idle(const pool_work& work) {
+    auto chosen = m_idle.rend();
+    for (auto each = m_idle.rbegin(); each != m_idle.rend(); ++each) {
+        if ((*each)->m_account != work.m_account) {
+            continue;
+        }
+        if ((*each)->m_session_values == *work.m_values) {
+            chosen = each;
+            break;
+        }
+        chosen = chosen == m_idle.rend() ? each : chosen;
+    }
+    if (chosen == m_idle.rend()) {
+        return nullptr;
+    }
+    const auto position = std::prev(chosen.base());
     connection_handle connection = *position;
     m_idle.erase(position);
     m_accounting.record_acquired();
@@ -184,6 +243,9 @@
     }
     const pool_work work = std::move(found->second);
     m_work.erase(found);
+    if (std::erase(m_awaiting_connection, work_id) > 0) {
+        m_queue.release(work.m_rank);
+    }
     const auto running = m_running.find(work_id);
     if (running != m_running.end()) {
         result.m_sent_at = running->second;
@@ -342,7 +404,9 @@
         }
     }
     for (const std::uint64_t id : waiting) {
-        if (m_queue.remove(id)) {
+        const bool awaits_connection = std::find(m_awaiting_connection.begin(), m_awaiting_connection.end(),
+                                                 id) != m_awaiting_connection.end();
+        if (awaits_connection || m_queue.remove(id)) {
             finish(id, {.m_outcome = work_outcome::not_run, .m_code = code});
         }
     }
@@ -352,16 +416,53 @@
     if (m_wrong_upstream || m_retired || m_entry.m_leaving) {
         return;
     }
+    if (m_serves_accounts) {
+        open_account_connections();
+        return;
+    }
     int wanted = m_accounting.connections_to_open(
         m_queue.connections_needed() + static_cast<int>(m_internal_queue.size()), m_clock.m_now());
     for (; wanted > 0; --wanted) {
-        start_connection();
+        start_connection({});
     }
 }
 
-void upstream_pool::start_connection() {
+void upstream_pool::open_account_connections() {
+    if (m_wrong_upstream || m_retired || m_entry.m_leaving) {
+        return;
+    }
+    const steady_time now = m_clock.m_now();
+    for (const std::string& account : uncovered_accounts()) {
+        if (!m_accounting.may_open(now)) {
+            break;
+        }
+        // An upstream that answers and yet fails connects has reached its connection limit: only a
+        // connection closed here makes room there.
+        const bool is_upstream_full = m_accounting.consecutive_failures() > 0 && !m_failing_since;
+        if ((m_accounting.room(now) == 0 || is_upstream_full) && !m_idle.empty()) {
+            m_metrics.count("upstream_connections_replaced");
+            close(connection_handle(m_idle.front()));
+        }
+        if (m_accounting.room(now) == 0) {
+            break;
+        }
+        start_connection(account);
+    }
+    // The instance's own statements use any connection. One is opened for them, or to notice that the
+    // upstream answers again, only when there is no other.
+    const bool is_needed =
+        !m_internal_queue.empty() || m_accounting.min_idle() > 0 || m_accounting.consecutive_failures() > 0;
+    const bool has_usable = m_internal_queue.empty() ? m_accounting.total() > 0
+                                                     : m_accounting.idle() + m_accounting.opening() > 0;
+    if (is_needed && !has_usable && m_accounting.room(now) > 0) {
+        start_connection({});
+    }
+}
+
+void upstream_pool::start_connection(const std::string& account) {
     auto connection = std::make_shared<pooled_connection>();
     connection->m_number = m_next_number++;
+    connection->m_account = account;
     connection->m_since = m_clock.m_now();
     m_accounting.record_opening();
     m_metrics.count("upstream_connections_opened");
@@ -374,7 +475,7 @@
         };
     };
     connection->m_channel = m_connector(
-        m_entry.m_address, m_entry.m_group, m_entry.m_id,
+        m_entry.m_address, m_entry.m_group, m_entry.m_id, account,
         {.m_on_ready = guarded([connection](upstream_pool& pool) { pool.on_ready(connection); }),
          .m_on_answer = guarded([connection](upstream_pool& pool, answer reply) {
              pool.on_answer(connection, std::move(reply));
@@ -575,6 +676,13 @@
     for (const admission_ticket& expired : m_queue.remove_expired(now)) {
         finish(expired.m_id, {.m_outcome = work_outcome::not_run});
     }
+    const std::deque<std::uint64_t> awaiting = m_awaiting_connection;
+    for (const std::uint64_t id : awaiting) {
+        const auto work = m_work.find(id);
+        if (work != m_work.end() && now >= work->second.m_send_deadline) {
+            finish(id, {.m_outcome = work_outcome::not_run});
+        }
+    }
     if (!accepts_new_work()) {
         refuse_waiting(result_code::upstream_leaving, true);
     }
--- /dev/null
+++ b/test/gateway/client_accounts.cpp
@@ -0,0 +1,364 @@
+/// \file client_accounts.cpp
+/// Client accounts in a fleet in virtual time: connections of one account each, keys that are removed,
+/// and instances that cannot confirm that a key is still valid.
+#include "line_channels.hpp"
+#include "support/event_loop.hpp"
+#include "support/gateway_fleet.hpp"
+
+#include "anvilmount/wire/tcp_listener.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <cstdio>
+#include <deque>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using kind = gateway::statement_kind;
+using gateway::statement_permit;
+
+namespace {
+
+constexpr milliseconds limit{5000};
+const std::string key_one = "k-5f0c1be0a77d";
+const std::string key_two = "k-91d2e6c3b048";
+
+/// Instances with the accounts "one" and "two", whose databases need a key, but for "open".
+struct account_fleet {
+    test::gateway_fleet m_fleet;
+
+    explicit account_fleet(int instances, std::optional<milliseconds> revocation_limit = limit,
+                           const endpoint& forwarding = {.m_address = "10.1.0.3", .m_port = 0})
+        : m_fleet(0, 1, forwarding) {
+        m_fleet.m_revocation_limit = revocation_limit;
+        auto& configuration = m_fleet.m_configuration;
+        configuration.m_accounts["one"] = {};
+        configuration.m_accounts["two"] = {};
+        configuration.m_account_keys = {{key_one, "one"}, {key_two, "two"}};
+        configuration.m_routes["open"] = configuration.m_routes["scan"];
+        configuration.m_routes["open"].m_is_public = true;
+        m_fleet.m_account_keys_from[7] = {{key_two, "two"}};
+        m_fleet.follow_configuration();
+        m_fleet.put_configuration(5);
+        for (int number = 1; number <= instances; ++number) {
+            m_fleet.start(number);
+        }
+        m_fleet.run_for(5000ms);
+    }
+
+    statement_permit check(int number, const std::string& key = key_one,
+                           const std::string& account = "one") {
+        return m_fleet.instance(number).check_statement("pay", key, account);
+    }
+};
+
+/// One end of a connection whose other end is served by the code under test.
+class raw_peer {
+public:
+    raw_peer() { BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, m_ends.data()) == 0); }
+    ~raw_peer() { close(m_ends[0]); }
+    raw_peer(const raw_peer&) = delete;
+    raw_peer& operator=(const raw_peer&) = delete;
+
+    [[nodiscard]] int served_end() const { return m_ends[1]; }
+
+    /// Sends `text`, lets `fleet` run, and returns what was received since the call before.
+    std::string exchange(const std::string& text, test::gateway_fleet& fleet) {
+        BOOST_REQUIRE(send(m_ends[0], text.data(), text.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(text.size()));
+        run_events();
+        fleet.run_for(100ms);
+        run_events();
+        std::array<char, 4096> chunk{};
+        std::string received;
+        ssize_t size = 0;
+        while ((size = recv(m_ends[0], chunk.data(), chunk.size(), 0)) > 0) {
+            received.append(chunk.data(), static_cast<std::size_t>(size));
+        }
+        m_is_closed = size == 0;
+        return received;
+    }
+
+    static void run_events() {
+        for (int round = 0; round < 20; ++round) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents);
+        }
+    }
+
+    bool m_is_closed{false};
+
+private:
+    std::array<int, 2> m_ends{};
+};
+
+/// Sends one read after the other; each names its account.
+class busy_caller {
+public:
+    busy_caller(gateway::gateway& instance, std::string account)
+        : m_account(std::move(account)), m_caller(instance, "scan", m_account) {}
+
+    void step() {
+        if (m_caller.m_answers.size() == m_sent) {
+            ++m_sent;
+            m_caller.send(kind::read, "READ " + m_account);
+        }
+    }
+
+    std::string m_account;
+    test::test_caller m_caller;
+    std::size_t m_sent{0};
+};
+
+void check_connections_by_account(const test::fake_upstreams& upstreams) {
+    std::size_t with_account = 0;
+    for (const test::run_statement& each : upstreams.m_runs) {
+        if (each.m_text.starts_with("READ ")) {
+            ++with_account;
+            BOOST_TEST(each.m_account == each.m_text.substr(5));
+        }
+    }
+    BOOST_TEST(with_account > 0U);
+}
+
+}
+
+/// Guards against a connection that an upstream knows as one account's and that serves another's work, and
+/// against work that is forgotten because its account never gets a connection.
+BOOST_AUTO_TEST_CASE(work_of_many_accounts_on_few_connections_is_served_on_connections_of_their_own) {
+    constexpr int accounts = 12;
+    test::gateway_fleet fleet(1);
+    fleet.m_configuration.m_services[{"orders"}].m_max_connections = 5;
+    for (int number = 1; number <= accounts; ++number) {
+        fleet.m_configuration.m_accounts["a" + std::to_string(number)] = {};
+    }
+    ++fleet.m_configuration.m_revision;
+    fleet.instance(1).adopt_configuration(fleet.m_configuration);
+    std::deque<busy_caller> callers;
+    for (int number = 1; number <= accounts; ++number) {
+        callers.emplace_back(fleet.instance(1), "a" + std::to_string(number));
+    }
+    for (int step = 0; step < 300; ++step) {
+        for (busy_caller& each : callers) {
+            each.step();
+        }
+        fleet.run_for(10ms);
+    }
+    check_connections_by_account(fleet.m_upstreams);
+    for (const busy_caller& each : callers) {
+        BOOST_TEST(each.m_caller.m_answers.size() > 20U);
+        for (const gateway::answer& reply : each.m_caller.m_answers) {
+            BOOST_TEST(reply.succeeded());
+        }
+    }
+    for (const auto& [id, upstream] : fleet.m_upstreams.registry()) {
+        BOOST_TEST(fleet.m_upstreams.at(id.m_text).m_peak_open <= 5);
+    }
+}
+
+/// Guards against connections that are opened and closed in a loop while there is room for all accounts.
+BOOST_AUTO_TEST_CASE(accounts_that_alternate_keep_their_connections) {
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    test::test_caller one(fleet.instance(1), "pay", "one");
+    test::test_caller two(fleet.instance(1), "pay", "two");
+    const auto opened = [&] {
+        return fleet.instance(1)
+            .state_dump()
+            .at("metrics")
+            .at("counters")
+            .value("upstream_connections_opened", 0);
+    };
+    int before = 0;
+    for (int round = 0; round < 40; ++round) {
+        one.send(kind::read, "READ one");
+        fleet.run_for(60ms);
+        two.send(kind::read, "READ two");
+        fleet.run_for(60ms);
+        before = round == 0 ? opened() : before;
+    }
+    BOOST_TEST(opened() == before);
+    check_connections_by_account(fleet.m_upstreams);
+    BOOST_TEST(one.m_answers.size() + two.m_answers.size() == 80U);
+}
+
+/// Guards against the account of a transaction's connection being lost on the way to the pool.
+BOOST_AUTO_TEST_CASE(transactions_run_on_connections_of_their_account) {
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    for (const char* account : {"one", "two", "one"}) {
+        test::test_caller caller(fleet.instance(1), "pay", account);
+        caller.send(kind::begin, "BEGIN");
+        caller.send(kind::read, std::string("READ ") + account);
+        caller.send(kind::commit, "COMMIT");
+        fleet.run_for(200ms);
+        BOOST_REQUIRE(caller.m_answers.size() == 3U);
+        BOOST_TEST(caller.m_answers.back().succeeded());
+    }
+    check_connections_by_account(fleet.m_upstreams);
+}
+
+BOOST_AUTO_TEST_CASE(a_session_needs_an_account_that_is_known_unless_its_route_is_public) {
+    account_fleet accounts(1);
+    gateway::gateway& instance = accounts.m_fleet.instance(1);
+    BOOST_TEST(
+        (test::test_caller(instance, "pay", "three").m_rejected == result_code::account_unconfirmed));
+    BOOST_TEST((test::test_caller(instance, "pay").m_rejected == result_code::account_unconfirmed));
+    BOOST_TEST(test::test_caller(instance, "open").is_open());
+    BOOST_TEST(!instance.find_account("pay", "unknown"));
+    BOOST_TEST(!instance.find_account("pay", "one"));
+    BOOST_TEST((instance.find_account("pay", key_two) == "two"));
+    BOOST_TEST((instance.find_account("open", "unknown") == ""));
+    BOOST_TEST((accounts.check(1, key_two, "one") == statement_permit::account_changed));
+}
+
+BOOST_AUTO_TEST_CASE(without_strict_revocation_an_instance_that_hears_the_store_refuses_a_removed_key) {
+    account_fleet accounts(3, std::nullopt);
+    accounts.m_fleet.put_configuration(7);
+    accounts.m_fleet.run_for(1000ms);
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST((accounts.check(number) == statement_permit::unauthenticated));
+        BOOST_TEST((accounts.check(number, key_two, "two") == statement_permit::granted));
+    }
+}
+
+/// Guards against an instance that goes on with a key that it has not heard the removal of.
+BOOST_AUTO_TEST_CASE(a_key_removed_while_the_store_is_silent_is_refused_in_time_on_every_instance) {
+    account_fleet accounts(3);
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST((accounts.check(number) == statement_permit::granted));
+    }
+    accounts.m_fleet.m_store.m_unreachable = true;
+    accounts.m_fleet.put_configuration(7);
+    accounts.m_fleet.run_for(limit);
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST((accounts.check(number) == statement_permit::unconfirmed));
+        BOOST_TEST((accounts.m_fleet.instance(number).check_statement("open", "anyone", "") ==
+                    statement_permit::granted));
+    }
+    accounts.m_fleet.m_store.m_unreachable = false;
+    accounts.m_fleet.run_for(6000ms);
+    for (int number = 1; number <= 3; ++number) {
+        BOOST_TEST((accounts.check(number) == statement_permit::unauthenticated));
+        BOOST_TEST((accounts.check(number, key_two, "two") == statement_permit::granted));
+    }
+}
+
+/// The time of the proof counts suspended time: nothing has run here when the instance wakes.
+BOOST_AUTO_TEST_CASE(a_frozen_instance_refuses_on_waking) {
+    account_fleet accounts(2);
+    BOOST_TEST((accounts.check(1) == statement_permit::granted));
+    accounts.m_fleet.m_store.m_unreachable = true;
+    accounts.m_fleet.m_clock.run_for(limit);
+    BOOST_TEST((accounts.check(1) == statement_permit::unconfirmed));
+}
+
+/// Guards against heartbeats so rare that one lost answer refuses the work of all accounts.
+BOOST_AUTO_TEST_CASE(the_proof_outlasts_a_lost_answer_in_a_large_fleet) {
+    constexpr int instances = 26;
+    account_fleet accounts(instances);
+    accounts.m_fleet.run_for(10s);
+    for (int step = 0; step < 240; ++step) {
+        accounts.m_fleet.m_store.m_loses_change_answers = step >= 20 && step < 40;
+        accounts.m_fleet.run_for(50ms);
+        for (int number = 1; number <= instances; ++number) {
+            BOOST_TEST_CONTEXT("instance " << number << " step " << step) {
+                BOOST_TEST((accounts.check(number) == statement_permit::granted));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_is_older_brings_no_key_back) {
+    account_fleet accounts(1);
+    accounts.m_fleet.put_configuration(7);
+    accounts.m_fleet.run_for(1000ms);
+    accounts.m_fleet.put_configuration(6);
+    accounts.m_fleet.run_for(2000ms);
+    BOOST_TEST((accounts.check(1) == statement_permit::unauthenticated));
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_without_a_confirmed_account_does_not_run) {
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    test::test_caller caller(fleet.instance(1), "pay", "one");
+    caller.send_checked(kind::write, "WRITE a", statement_permit::unconfirmed);
+    BOOST_REQUIRE(caller.m_answers.size() == 1U);
+    BOOST_TEST((caller.m_answers[0].m_code == result_code::account_unconfirmed));
+    BOOST_TEST((caller.m_answers[0].m_state == gateway::session_state::idle));
+    caller.send(kind::begin, "BEGIN");
+    caller.send(kind::write, "WRITE b");
+    fleet.run_for(100ms);
+    caller.send_checked(kind::commit, "COMMIT", statement_permit::unconfirmed);
+    BOOST_REQUIRE(caller.m_answers.size() == 4U);
+    BOOST_TEST((caller.m_answers[3].m_code == result_code::transaction_lost));
+    BOOST_TEST((caller.m_answers[3].m_state == gateway::session_state::failed));
+    caller.send_checked(kind::rollback, "ROLLBACK", statement_permit::unconfirmed);
+    BOOST_REQUIRE(caller.m_answers.size() == 5U);
+    BOOST_TEST(caller.m_answers[4].succeeded());
+    BOOST_TEST(caller.is_open());
+    for (const test::run_statement& each : fleet.m_upstreams.m_runs) {
+        BOOST_TEST(each.m_text == "WRITE b");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_session_whose_key_is_gone_rolls_back_and_closes) {
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    test::test_caller caller(fleet.instance(1), "pay", "one");
+    caller.send(kind::begin, "BEGIN");
+    caller.send(kind::write, "WRITE b");
+    fleet.run_for(100ms);
+    caller.send_checked(kind::commit, "COMMIT", statement_permit::unauthenticated);
+    BOOST_REQUIRE(caller.m_answers.size() == 3U);
+    BOOST_TEST((caller.m_answers[2].m_code == result_code::unauthenticated));
+    BOOST_TEST((caller.m_answers[2].m_state == gateway::session_state::idle));
+    BOOST_TEST(!caller.is_open());
+    fleet.run_for(100ms);
+    BOOST_TEST(fleet.m_upstreams.m_runs.back().m_text == "WRITE b");
+}
+
+BOOST_AUTO_TEST_CASE(the_lines_of_a_caller_with_a_key_that_is_unknown_removed_or_unconfirmed) {
+    test::event_loop loop;
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    raw_peer unknown;
+    line_protocol::serve_caller(loop.m_loop, unknown.served_end(), fleet.instance(1));
+    BOOST_TEST(unknown.exchange("START pay one\r\n", fleet).starts_with("ERROR UNAUTHED "));
+    BOOST_TEST(unknown.m_is_closed);
+
+    raw_peer open;
+    line_protocol::serve_caller(loop.m_loop, open.served_end(), fleet.instance(1));
+    BOOST_TEST(open.exchange("START open anyone\r\n", fleet) == "READY I -\r\n");
+
+    raw_peer caller;
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(1));
+    BOOST_TEST(caller.exchange("START pay " + key_one + "\r\n", fleet) == "READY I -\r\n");
+    BOOST_TEST(caller.exchange("QUERY q1 READ one\r\n", fleet).starts_with("COMPLETE proof-q1\r\nREADY I"));
+    BOOST_TEST(caller.exchange("QUERY q2 BEGIN\r\nQUERY q3 WRITE b\r\n", fleet).find("READY T") !=
+               std::string::npos);
+
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(limit);
+    const std::string inside = caller.exchange("QUERY q4 COMMIT\r\n", fleet);
+    BOOST_TEST(inside.starts_with("ERROR ABORTED "));
+    BOOST_TEST(inside.find("READY E") != std::string::npos);
+    BOOST_TEST(caller.exchange("QUERY q5 ROLLBACK\r\n", fleet).find("READY I") != std::string::npos);
+    const std::string outside = caller.exchange("QUERY q6 READ one\r\n", fleet);
+    BOOST_TEST(outside.starts_with("ERROR BUSY "));
+    BOOST_TEST(outside.find("READY I") != std::string::npos);
+    BOOST_TEST(open.exchange("QUERY q1 READ x\r\n", fleet).starts_with("COMPLETE proof-q1\r\n"));
+
+    fleet.m_store.m_unreachable = false;
+    fleet.run_for(5000ms);
+    BOOST_TEST(caller.exchange("QUERY q7 READ one\r\n", fleet).starts_with("COMPLETE proof-q7\r\n"));
+    fleet.put_configuration(7);
+    fleet.run_for(1000ms);
+    const std::string removed = caller.exchange("QUERY q8 READ one\r\n", fleet);
+    BOOST_TEST(removed.starts_with("ERROR UNAUTHED "));
+    BOOST_TEST(removed.find("READY I") != std::string::npos);
+    BOOST_TEST(caller.m_is_closed);
+}
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -49,10 +49,12 @@
 
 gateway::upstream_connector fake_upstreams::connector(const std::string& instance) {
     return [this, instance](const endpoint&, const group_name&, const upstream_id& expected,
+                            const std::string& account,
                             gateway::upstream_channel_events events) -> gateway::upstream_channel {
         auto made = std::make_shared<connection>();
         made->m_number = m_next++;
         made->m_instance = instance;
+        made->m_account = account;
         made->m_upstream = expected.m_text;
         made->m_events = std::move(events);
         start(made, expected);
@@ -235,6 +237,7 @@
     }
     m_runs.push_back({.m_upstream = conn->m_upstream,
                       .m_connection = conn->m_number,
+                      .m_account = conn->m_account,
                       .m_id = what.m_id,
                       .m_text = text,
                       .m_values = conn->m_values,
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -23,6 +23,7 @@
 struct run_statement {
     std::string m_upstream{};
     std::uint64_t m_connection{0};
+    std::string m_account{}; ///< Named when the connection was opened.
     std::string m_id{};
     std::string m_text{};
     gateway::session_values m_values{};
@@ -87,6 +88,7 @@
     struct connection {
         std::uint64_t m_number{0};
         std::string m_instance{};
+        std::string m_account{};
         std::string m_upstream{};
         gateway::upstream_channel_events m_events{};
         gateway::session_values m_values{};
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -38,11 +38,15 @@
 
 }
 
-test_caller::test_caller(gateway::gateway& instance, const std::string& database) : m_instance(instance) {
+test_caller::test_caller(gateway::gateway& instance, const std::string& database,
+                         const std::string& account)
+    : m_instance(instance) {
     const auto opened = value_or_failure([&] {
         return instance.open_session(
-            database, {.m_answer = [this](const gateway::answer& reply) { m_answers.push_back(reply); },
-                       .m_close = [this] { m_closed = true; }});
+            database,
+            {.m_answer = [this](const gateway::answer& reply) { m_answers.push_back(reply); },
+             .m_close = [this] { m_closed = true; }},
+            account);
     });
     if (const auto* failed = std::get_if<failure>(&opened)) {
         m_rejected = failed->m_code;
@@ -61,6 +65,15 @@
                              .m_writes = writes});
 }
 
+void test_caller::send_checked(gateway::statement_kind kind, const std::string& text,
+                               gateway::statement_permit permit) {
+    m_session->on_statement({.m_id = "q" + std::to_string(m_next_statement++),
+                             .m_kind = kind,
+                             .m_text = text,
+                             .m_writes = kind == gateway::statement_kind::write,
+                             .m_permit = permit});
+}
+
 test_caller::~test_caller() {
     disconnect();
 }
@@ -161,6 +174,10 @@
             configuration.m_revision = std::stoull(row->second.m_value);
             configuration.m_routes[database_of(configuration.m_revision)] =
                 route("orders", gateway::consistency::strong, 1);
+            const auto keys = m_account_keys_from.upper_bound(configuration.m_revision);
+            if (keys != m_account_keys_from.begin()) {
+                configuration.m_account_keys = std::prev(keys)->second;
+            }
             instance.adopt_configuration(configuration);
         });
     if (const auto before = m_configuration_followers.find(name);
@@ -189,7 +206,8 @@
                                      .m_port = static_cast<std::uint16_t>(m_forwarding.m_port + number)},
             .m_store_relay_address = {.m_address = "10.1.0.2",
                                       .m_port = static_cast<std::uint16_t>(number)},
-            .m_drain_limit = drain_limit},
+            .m_drain_limit = drain_limit,
+            .m_revocation_limit = m_revocation_limit},
         ports(name));
     made->start();
     made->adopt_configuration(m_configuration);
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -21,7 +21,8 @@
 /// A caller session at a gateway that collects its answers.
 class test_caller {
 public:
-    test_caller(gateway::gateway& instance, const std::string& database);
+    /// `account`: of the session; empty without client accounts.
+    test_caller(gateway::gateway& instance, const std::string& database, const std::string& account = {});
     ~test_caller();
     test_caller(const test_caller&) = delete;
     test_caller& operator=(const test_caller&) = delete;
@@ -29,6 +30,9 @@
     [[nodiscard]] bool is_open() const { return m_session != nullptr && !m_closed; }
     void send(gateway::statement_kind kind, const std::string& text, const std::string& name = {},
               const std::string& argument = {}, bool writes = false);
+    /// Sends a read whose key was checked with the outcome `permit`.
+    void send_checked(gateway::statement_kind kind, const std::string& text,
+                      gateway::statement_permit permit);
     void disconnect();
     void require_revision(std::uint64_t revision) { m_session->require_revision(revision); }
 
@@ -86,6 +90,10 @@
     fake_upstreams m_upstreams{m_clock};
     gateway::fleet_configuration m_configuration;
     std::map<std::uint64_t, std::string> m_token_holders; ///< Who ordered promotions, by fencing token.
+    /// Keys of client accounts in the configurations put_configuration() stores, from this revision on.
+    std::map<std::uint64_t, std::map<std::string, std::string>> m_account_keys_from;
+    /// For instances started from then on.
+    std::optional<milliseconds> m_revocation_limit;
     bool m_loses_promotion_answers{false};
     std::set<std::string> m_powered_off;    ///< Instances whose addresses do not answer.
     std::set<std::string> m_refuses_probes; ///< Instances whose addresses refuse connections of others.
