--- a/libs/decisions/include/anvilmount/decisions/configuration_proof.hpp
+++ b/libs/decisions/include/anvilmount/decisions/configuration_proof.hpp
@@ -33,11 +33,6 @@
         return !m_limit || (m_proved_at && now < *m_proved_at + *m_limit - margin());
     }
 
-    /// When a refused statement may find a proof again: a heartbeat that failed is repeated sooner.
-    [[nodiscard]] milliseconds retry_delay() const {
-        return m_limit.value_or(milliseconds{0}) / retry_divisor;
-    }
-
     /// Greatest interval of heartbeats, and greatest delay for sending one together with others. At a
     /// limit of 5 s these are 1.5 s and 0.5 s. A heartbeat whose answer is lost is given up at most 2.1 s
     /// after it was sent and repeated 0.4 s later, so the proof is renewed 4.2 s after the one before.
@@ -50,7 +45,6 @@
 
 private:
     static constexpr int margin_divisor = 20;
-    static constexpr int retry_divisor = 10;
 
     /// The clocks of two machines drift.
     [[nodiscard]] milliseconds margin() const { return *m_limit / margin_divisor; }
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -17,6 +17,9 @@
 /// Limit of prepared statements per session.
 constexpr std::size_t max_prepared = 1000;
 
+/// A heartbeat that failed is repeated after 400 ms; the proof that it brings confirms accounts again.
+constexpr milliseconds confirmation_retry_delay{500};
+
 /// Reserved from a statement's deadline for sending the answer back to the caller.
 constexpr milliseconds return_allowance{20};
 
@@ -125,7 +128,8 @@
         return false;
     }
     result_code code = m_transaction ? result_code::transaction_lost : result_code::account_unconfirmed;
-    std::string reason = "the account cannot be confirmed; retry in 500 ms";
+    std::string reason = "the account cannot be confirmed; retry in " +
+                         std::to_string(confirmation_retry_delay.count()) + " ms";
     if (current.m_permit == statement_permit::account_changed) {
         reason = "the account has changed; connect again";
     } else if (current.m_permit == statement_permit::unauthenticated) {
--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -2,9 +2,11 @@
 /// Client accounts in a fleet in virtual time: connections of one account each, keys that are removed,
 /// and instances that cannot confirm that a key is still valid.
 #include "line_channels.hpp"
+#include "platform_records.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
 
+#include "anvilmount/observe/event_log.hpp"
 #include "anvilmount/wire/tcp_listener.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -95,6 +97,37 @@
     std::array<int, 2> m_ends{};
 };
 
+/// Writes the log to a file while it exists.
+class captured_log {
+public:
+    captured_log() : m_file(std::tmpfile()), m_standard_error(dup(STDERR_FILENO)) {
+        BOOST_REQUIRE(m_file != nullptr);
+        dup2(fileno(m_file), STDERR_FILENO);
+        start_event_log({.m_process_name = "test", .m_threshold = "debug", .m_to_standard_output = false});
+    }
+    ~captured_log() {
+        dup2(m_standard_error, STDERR_FILENO);
+        close(m_standard_error);
+        std::fclose(m_file);
+    }
+    captured_log(const captured_log&) = delete;
+    captured_log& operator=(const captured_log&) = delete;
+
+    [[nodiscard]] std::string text() const {
+        std::string read;
+        std::array<char, 4096> chunk{};
+        std::rewind(m_file);
+        for (std::size_t size = 0; (size = std::fread(chunk.data(), 1, chunk.size(), m_file)) > 0;) {
+            read.append(chunk.data(), size);
+        }
+        return read;
+    }
+
+private:
+    std::FILE* m_file;
+    int m_standard_error;
+};
+
 /// Sends one read after the other; each names its account.
 class busy_caller {
 public:
@@ -154,6 +187,10 @@
             BOOST_TEST(reply.succeeded());
         }
     }
+    // One for each work at most, beside the first of each upstream.
+    const nlohmann::json state = fleet.instance(1).state_dump();
+    BOOST_TEST(state.at("metrics").at("counters").value("upstream_connections_opened", 0U) <=
+               fleet.m_upstreams.m_runs.size() + 3U);
     for (const auto& [id, upstream] : fleet.m_upstreams.registry()) {
         BOOST_TEST(fleet.m_upstreams.at(id.m_text).m_peak_open <= 5);
     }
@@ -261,8 +298,9 @@
     constexpr int instances = 26;
     account_fleet accounts(instances);
     accounts.m_fleet.run_for(10s);
-    for (int step = 0; step < 240; ++step) {
-        accounts.m_fleet.m_store.m_loses_change_answers = step >= 20 && step < 40;
+    for (int step = 0; step < 600; ++step) {
+        // Not a multiple of any interval, so that it hits heartbeats at each of their phases.
+        accounts.m_fleet.m_store.m_loses_change_answers = step % 127 >= 107;
         accounts.m_fleet.run_for(50ms);
         for (int number = 1; number <= instances; ++number) {
             BOOST_TEST_CONTEXT("instance " << number << " step " << step) {
@@ -362,3 +400,177 @@
     BOOST_TEST(removed.find("READY I") != std::string::npos);
     BOOST_TEST(caller.m_is_closed);
 }
+
+/// Guards against a key that reaches another instance, the log, the metrics or the state dump, and against
+/// a forwarded statement that is not checked where it arrived.
+BOOST_AUTO_TEST_CASE(a_key_never_leaves_the_instance_that_received_it) {
+    constexpr int instances = 12;
+    const captured_log log;
+    test::event_loop loop;
+    account_fleet accounts(instances, limit, test::test_address(0));
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    std::string received;
+    std::vector<std::unique_ptr<tcp_listener>> listeners;
+    std::vector<std::shared_ptr<tcp_stream>> streams;
+    int forwarding = 0;
+    for (int number = 1; number <= instances; ++number) {
+        auto listener = tcp_listener::listen(loop.m_loop, test::test_address(number), [&](int fd) {
+            streams.push_back(tcp_stream::adopt(loop.m_loop, fd,
+                                                {.m_on_bytes =
+                                                     [&](std::string_view bytes) {
+                                                         received.append(bytes);
+                                                         if (bytes.starts_with("START")) {
+                                                             streams.back()->write("READY I -\r\n");
+                                                         }
+                                                     },
+                                                 .m_on_closed = [](close_reason) {}}));
+        });
+        listeners.push_back(std::move(listener.value()));
+        forwarding = fleet.instance(number).forwarding_target("pay", "one") ? number : forwarding;
+    }
+    BOOST_REQUIRE(forwarding > 0);
+    raw_peer stranger;
+    line_protocol::serve_caller(loop.m_loop, stranger.served_end(), fleet.instance(forwarding));
+    BOOST_TEST(stranger.exchange("START pay k-of-nobody\r\n", fleet).starts_with("ERROR UNAUTHED "));
+
+    raw_peer caller;
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding));
+    const auto has_received = [&](const std::string& text) {
+        loop.run_until([&] { return received.find(text) != std::string::npos; });
+    };
+    caller.exchange("START pay " + key_one + "\r\nQUERY q1 READ one\r\n", fleet);
+    has_received("QUERY q1 READ one\r\n");
+    BOOST_TEST(received.starts_with("START pay anvilmount/5/one\r\n"));
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(limit);
+    caller.exchange("QUERY q2 WRITE a\r\nQUERY q3 ROLLBACK\r\n", fleet);
+    has_received("QUERY q3 ROLLBACK\r\n");
+    BOOST_TEST(received.find("REFUSED q2 BUSY\r\n") != std::string::npos);
+    fleet.m_store.m_unreachable = false;
+    fleet.put_configuration(7);
+    fleet.run_for(6000ms);
+    caller.exchange("QUERY q4 WRITE b\r\n", fleet);
+    has_received("REFUSED q4 UNAUTHED\r\n");
+    BOOST_TEST(received.find("WRITE") == std::string::npos);
+    const std::string again = caller.exchange("START pay " + key_one + "\r\n", fleet);
+    BOOST_TEST(again.find("ERROR MALFORMED ") != std::string::npos);
+
+    // The configuration is cut off within a key.
+    BOOST_TEST(!decode_configuration(R"({"version":8,"tenants":[{"name":"one","apiKeys":[")" + key_one));
+
+    const std::string written = log.text();
+    BOOST_TEST(written.find("configuration.unreadable") != std::string::npos);
+    BOOST_TEST(written.find("caller.rejected") != std::string::npos);
+    std::string dumps;
+    for (int number = 1; number <= instances; ++number) {
+        dumps += fleet.instance(number).state_dump().dump();
+    }
+    for (const std::string& key : {key_one, key_two, std::string("k-of-nobody")}) {
+        BOOST_TEST(received.find(key) == std::string::npos);
+        BOOST_TEST(written.find(key) == std::string::npos);
+        BOOST_TEST(dumps.find(key) == std::string::npos);
+    }
+}
+
+/// The serving instance judges a forwarded session by the account that its START names, and refuses the
+/// statements that the forwarding instance refused.
+BOOST_AUTO_TEST_CASE(the_serving_instance_of_a_forwarded_session) {
+    test::event_loop loop;
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    const auto serve = [&](raw_peer& peer, const std::string& account) {
+        line_protocol::serve_forwarded_caller(loop.m_loop, peer.served_end(), fleet.instance(1));
+        return peer.exchange(line_protocol::encode_forwarded_greeting("pay", 5, account), fleet);
+    };
+    raw_peer unknown;
+    BOOST_TEST(serve(unknown, "three").starts_with("ERROR BUSY "));
+    raw_peer unnamed;
+    BOOST_TEST(serve(unnamed, "").starts_with("ERROR BUSY "));
+    raw_peer peer;
+    BOOST_TEST(serve(peer, "one") == "READY I -\r\n");
+    BOOST_TEST(peer.exchange("QUERY q1 READ one\r\n", fleet).starts_with("COMPLETE proof-q1\r\n"));
+    check_connections_by_account(fleet.m_upstreams);
+    const std::string busy =
+        peer.exchange(line_protocol::encode_refused_statement("q2", statement_permit::unconfirmed), fleet);
+    BOOST_TEST(busy.starts_with("ERROR BUSY "));
+    BOOST_TEST(busy.find("READY I") != std::string::npos);
+    peer.exchange("QUERY q3 BEGIN\r\nQUERY q4 WRITE b\r\n", fleet);
+    BOOST_TEST(
+        peer.exchange(line_protocol::encode_refused_statement("q5", statement_permit::unconfirmed), fleet)
+            .starts_with("ERROR ABORTED "));
+    const std::string gone = peer.exchange(
+        line_protocol::encode_refused_statement("q6", statement_permit::unauthenticated), fleet);
+    BOOST_TEST(gone.starts_with("ERROR UNAUTHED "));
+    BOOST_TEST(peer.m_is_closed);
+}
+
+/// One operation is taken for a statement outside transactions and one for a transaction, and given back
+/// only if nothing was sent for it.
+BOOST_AUTO_TEST_CASE(a_session_takes_one_operation_from_the_quota_and_gives_it_back_if_nothing_was_sent) {
+    test::manual_clock clock;
+    test::fake_upstreams upstreams(clock);
+    upstreams.add_group("orders", 1);
+    const gateway::clock_port port = clock.port();
+    const gateway::upstream_connector connector = upstreams.connector("i1");
+    metrics counters;
+    confirmation_lease lease(10s);
+    lease.renew(clock.now(), clock.now(), 1);
+    gateway::group_service group({.m_name = {"orders"}, .m_limits = {.m_connections = 5, .m_slots = 3}},
+                                 port, connector, lease, counters);
+    gateway::database_route route{.m_group = {"orders"}, .m_latency_target = 400ms};
+    route.m_class.m_rank = 1;
+    route.m_class.m_deadline = 1000ms;
+    int available = 2;
+    int taken = 0;
+    int returned = 0;
+    const gateway::session_context context{
+        .m_find_route = [&](const std::string&) { return &route; },
+        .m_find_group = [&](const group_name&) { return &group; },
+        .m_revision = [] { return std::uint64_t{1}; },
+        .m_idle_transaction_timeout = [] { return milliseconds{0}; },
+        .m_shared_statement_name = [](const std::string&, bool) { return std::string("a1"); },
+        .m_take_quota = [&](const std::string& account) -> std::optional<steady_time> {
+            BOOST_TEST(account == "one");
+            if (taken == available) {
+                return clock.now() + 70ms;
+            }
+            ++taken;
+            return std::nullopt;
+        },
+        .m_return_quota = [&](const std::string&) { ++returned; },
+        .m_clock = &port,
+        .m_metrics = &counters};
+    std::vector<gateway::answer> answers;
+    const auto session = std::make_shared<gateway::caller_session>(
+        1, "pay", "one", context,
+        gateway::caller_session::outputs{
+            .m_answer = [&](const gateway::answer& reply) { answers.push_back(reply); }, .m_close = [] {}});
+    const auto run = [&](kind what, const std::string& text) {
+        session->on_statement({.m_id = "q", .m_kind = what, .m_text = text});
+        for (int step = 0; step < 120; ++step) {
+            clock.run_for(10ms);
+            group.tick();
+        }
+        return answers.back();
+    };
+    // No upstream is known: nothing is sent.
+    BOOST_TEST(!run(kind::read, "READ 1").succeeded());
+    BOOST_TEST(taken == 1);
+    BOOST_TEST(returned == 1);
+    BOOST_TEST(run(kind::begin, "BEGIN").succeeded());
+    BOOST_TEST(taken == 1);
+    BOOST_TEST(!run(kind::read, "READ 1").succeeded());
+    BOOST_TEST(taken == 2);
+    BOOST_TEST(returned == 2);
+    BOOST_TEST(run(kind::rollback, "ROLLBACK").succeeded());
+    // The quota is used up.
+    const gateway::answer refused = run(kind::read, "READ 1");
+    BOOST_TEST((refused.m_code == result_code::quota_exceeded));
+    BOOST_TEST(refused.m_reason.find("retry in 70 ms") != std::string::npos);
+    BOOST_TEST(run(kind::begin, "BEGIN").succeeded());
+    BOOST_TEST((run(kind::read, "READ 1").m_code == result_code::quota_exceeded));
+    BOOST_TEST((answers.back().m_state == gateway::session_state::failed));
+    BOOST_TEST(run(kind::rollback, "ROLLBACK").succeeded());
+    BOOST_TEST(returned == 2);
+    session->on_disconnect();
+}
--- a/test/gateway/line_codec.cpp
+++ b/test/gateway/line_codec.cpp
@@ -200,3 +200,40 @@
     BOOST_TEST(!splitter.next().has_value());
     BOOST_TEST(splitter.is_malformed());
 }
+
+/// The START of a forwarded session names the account, never the key, and none without accounts.
+BOOST_AUTO_TEST_CASE(a_forwarded_greeting_names_revision_and_account) {
+    BOOST_TEST(encode_forwarded_greeting("pay", 7) == "START pay anvilmount/7\r\n");
+    BOOST_TEST(encode_forwarded_greeting("pay", 7, "acme") == "START pay anvilmount/7/acme\r\n");
+    const auto opening = [](const std::string& who) {
+        return open_request{.m_database = "pay", .m_client_name = who};
+    };
+    BOOST_TEST((forwarded_revision(opening("anvilmount/7/acme")) == 7U));
+    BOOST_TEST(forwarded_account(opening("anvilmount/7/acme")) == "acme");
+    BOOST_TEST(forwarded_account(opening("anvilmount/7/a/b")) == "a/b");
+    BOOST_TEST(forwarded_account(opening("anvilmount/7")).empty());
+    BOOST_TEST(!forwarded_revision(opening("anvilmount/x/acme")));
+    BOOST_TEST(forwarded_account(opening("anvilmount/x/acme")).empty());
+    BOOST_TEST(forwarded_account(opening("acme")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_is_told_the_account_of_a_connection) {
+    BOOST_TEST(encode_upstream_greeting({"orders"}, {"u1"}) == "START orders anvilmount u1\r\n");
+    BOOST_TEST(encode_upstream_greeting({"orders"}, {"u1"}, "acme") == "START orders acme u1\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_statement_is_decoded_with_its_permit) {
+    using gateway::statement_permit;
+    for (const statement_permit permit : {statement_permit::unauthenticated, statement_permit::unconfirmed,
+                                          statement_permit::account_changed}) {
+        const std::string line = encode_refused_statement("q1", permit);
+        const auto decoded = decode_refused_statement(std::string_view(line).substr(0, line.size() - 2));
+        BOOST_REQUIRE(decoded);
+        BOOST_TEST(decoded->m_id == "q1");
+        BOOST_TEST((decoded->m_permit == permit));
+    }
+    const auto unknown = decode_refused_statement("REFUSED q1 LATER");
+    BOOST_REQUIRE(unknown);
+    BOOST_TEST((unknown->m_permit == statement_permit::unconfirmed));
+    BOOST_TEST(!decode_refused_statement("QUERY q1 READ 1"));
+}
