--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -27,6 +27,11 @@
     std::function<milliseconds()> m_idle_transaction_timeout{};
     /// Returns the name under which all upstream connections prepare `query_template`.
     std::function<std::string(const std::string& query_template, bool writes)> m_shared_statement_name{};
+    /// Takes one operation off the quota of a client account. Returns nothing when it may run, else the
+    /// time at which to retry. Unset: no quota.
+    std::function<std::optional<steady_time>(const std::string& account)> m_take_quota{};
+    /// Gives back an operation that was refused as not run before anything was sent.
+    std::function<void(const std::string& account)> m_return_quota{};
     const clock_port* m_clock{nullptr};
     metrics* m_metrics{nullptr};
 };
@@ -41,8 +46,9 @@
         std::function<void()> m_close{};
     };
 
-    caller_session(std::uint64_t number, std::string database, const session_context& context,
-                   outputs callbacks);
+    /// `account`: name of the caller's client account; empty without one.
+    caller_session(std::uint64_t number, std::string database, std::string account,
+                   const session_context& context, outputs callbacks);
 
     /// Queues a statement. Statements are answered in the order in which they arrive.
     void on_statement(statement received);
@@ -74,6 +80,8 @@
     [[nodiscard]] std::optional<steady_time> inactive_since() const;
     [[nodiscard]] std::uint64_t number() const { return m_number; }
     [[nodiscard]] const std::string& database() const { return m_database; }
+    /// Name of the caller's client account; empty on a public route and without client accounts.
+    [[nodiscard]] const std::string& account() const { return m_account; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
 
 private:
@@ -105,6 +113,10 @@
     void deallocate(const statement& current);
     void run(const statement& current);
     void run_autocommit(const statement& current, bool writes);
+    /// Takes one operation off the account's quota. When it is used up, refuses the statement.
+    [[nodiscard]] bool take_quota();
+    /// Gives an operation back unless something was sent for it.
+    void return_quota(const group_reply& reply);
     void run_in_transaction(const statement& current);
     /// Begins the transaction at an upstream, which gives it a connection, then runs `current`.
     void begin_then_run(const statement& current);
@@ -133,6 +145,7 @@
 
     std::uint64_t m_number;
     std::string m_database;
+    std::string m_account;
     session_context m_context;
     outputs m_outputs;
     std::shared_ptr<const session_values> m_values;
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -116,9 +116,10 @@
     /// taken out may end at any moment.
     [[nodiscard]] bool accepts_sessions() const;
 
-    /// Returns the instance that a new session on `database` is forwarded to; nothing when it is
-    /// served here.
-    [[nodiscard]] std::optional<endpoint> forwarding_target(const std::string& database);
+    /// Returns the instance that a new session of client account `account` on `database` is forwarded
+    /// to; nothing when it is served here. `account`: empty without one.
+    [[nodiscard]] std::optional<endpoint> forwarding_target(const std::string& database,
+                                                            const std::string& account = {});
 
     /// Forwards no sessions to `target` for a while.
     void on_forwarding_failed(const endpoint& target);
@@ -127,9 +128,10 @@
     std::uint64_t add_forwarded(forwarded_caller caller);
     void remove_forwarded(std::uint64_t number) { m_forwarded.erase(number); }
 
-    /// Opens a session on `database`. The failure's message is sent to the caller.
-    [[nodiscard]] result<std::shared_ptr<caller_session>> open_session(const std::string& database,
-                                                                       caller_session::outputs out);
+    /// Opens a session of client account `account` on `database`. `account`: empty without one. The
+    /// failure's message is sent to the caller.
+    [[nodiscard]] result<std::shared_ptr<caller_session>>
+    open_session(const std::string& database, caller_session::outputs out, const std::string& account = {});
     void forget_session(const std::shared_ptr<caller_session>& session);
 
     /// Call every few milliseconds.
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -31,8 +31,9 @@
 /// A request of a session to its group.
 struct group_request {
     std::uint64_t m_caller{0};
-    std::string m_id{}; ///< Statement id, for the log.
-    int m_rank{2};      ///< Admission rank; lower ranks are more urgent.
+    std::string m_account{}; ///< Client account of the caller; empty without one.
+    std::string m_id{};      ///< Statement id, for the log.
+    int m_rank{2};           ///< Admission rank; lower ranks are more urgent.
     request_placement m_placement{request_placement::primary};
     bool m_retryable{false};          ///< Reads and BEGIN: running them twice is harmless.
     bool m_acknowledges_write{false}; ///< Success tells the caller that a write is committed.
@@ -52,6 +53,7 @@
 /// The outcome of a group_request.
 struct group_reply {
     work_outcome m_outcome{work_outcome::not_run};
+    bool m_was_sent{false}; ///< An upstream was sent the request, in whichever attempt.
     answer m_answer{};
     result_code m_code{result_code::queue_full}; ///< Reason, unless answered.
     connection_handle m_connection{};            ///< When answered.
@@ -118,6 +120,7 @@
         group_request m_request{};
         std::function<void(group_reply)> m_done{};
         int m_attempts{0};
+        bool m_was_sent{false}; ///< In whichever attempt.
         steady_time m_earliest_retry{};
         std::vector<upstream_id> m_avoided{}; ///< Upstreams that failed to serve the request.
     };
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -5,6 +5,7 @@
 
 #include "anvilmount/observe/event_log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace anvilmount::gateway {
@@ -25,9 +26,9 @@
 
 }
 
-caller_session::caller_session(std::uint64_t number, std::string database, const session_context& context,
-                               outputs callbacks)
-    : m_number(number), m_database(std::move(database)), m_context(context),
+caller_session::caller_session(std::uint64_t number, std::string database, std::string account,
+                               const session_context& context, outputs callbacks)
+    : m_number(number), m_database(std::move(database)), m_account(std::move(account)), m_context(context),
       m_outputs(std::move(callbacks)), m_values(std::make_shared<const session_values>()),
       m_last_answer_at(m_context.m_clock->m_now()) {}
 
@@ -252,6 +253,7 @@
 void caller_session::fill_request(group_request& request, const statement& current,
                                   const database_route& route) {
     request.m_caller = m_number;
+    request.m_account = m_account;
     request.m_id = current.m_id;
     request.m_rank = route.m_class.m_rank;
     request.m_arrived = m_arrived;
@@ -290,6 +292,29 @@
     request.m_session_watermark = session_watermark(group);
 }
 
+bool caller_session::take_quota() {
+    const auto retry_at =
+        m_context.m_take_quota && !m_account.empty() ? m_context.m_take_quota(m_account) : std::nullopt;
+    if (!retry_at) {
+        return true;
+    }
+    if (m_transaction) {
+        fail_transaction();
+    }
+    const auto wait = std::max(
+        milliseconds{0}, std::chrono::duration_cast<milliseconds>(*retry_at - m_context.m_clock->m_now()));
+    refuse(result_code::quota_exceeded,
+           "the account's quota is used up; retry in " + std::to_string(wait.count()) + " ms");
+    return false;
+}
+
+void caller_session::return_quota(const group_reply& reply) {
+    if (reply.m_outcome == work_outcome::not_run && !reply.m_was_sent && m_context.m_return_quota &&
+        !m_account.empty()) {
+        m_context.m_return_quota(m_account);
+    }
+}
+
 void caller_session::run_autocommit(const statement& current, bool writes) {
     const database_route* route = m_context.m_find_route(m_database);
     group_service* group = route == nullptr ? nullptr : m_context.m_find_group(route->m_group);
@@ -297,6 +322,9 @@
         refuse(result_code::unknown_group, "no such database");
         return;
     }
+    if (!take_quota()) {
+        return;
+    }
     group_request request;
     fill_request(request, current, *route);
     request.m_retryable = !writes;
@@ -310,6 +338,7 @@
 }
 
 void caller_session::on_autocommit_reply(bool writes, group_reply reply) {
+    return_quota(reply);
     switch (reply.m_outcome) {
     case work_outcome::answered:
         reply.m_pool->release_or_close(reply.m_connection, reply.m_answer.m_state);
@@ -356,6 +385,9 @@
         serve_next();
         return;
     }
+    if (!take_quota()) {
+        return;
+    }
     group_request request;
     fill_request(request, current, route);
     request.m_retryable = true;
@@ -371,6 +403,7 @@
 }
 
 void caller_session::on_begin_reply(const statement& current, const group_reply& reply) {
+    return_quota(reply);
     const bool has_begun = reply.m_outcome == work_outcome::answered && reply.m_answer.succeeded();
     if (!has_begun) {
         if (reply.m_outcome == work_outcome::answered) {
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -310,7 +310,8 @@
     return !m_leaving_since || m_ports.m_clock.m_now() < *m_leaving_since + balancer_removal_time;
 }
 
-std::optional<endpoint> gateway::forwarding_target(const std::string& database) {
+std::optional<endpoint> gateway::forwarding_target(const std::string& database,
+                                                   const std::string& /*account*/) {
     const auto route = m_configuration.m_routes.find(database);
     const auto group =
         route == m_configuration.m_routes.end() ? m_groups.end() : m_groups.find(route->second.m_group);
@@ -350,7 +351,8 @@
 }
 
 result<std::shared_ptr<caller_session>> gateway::open_session(const std::string& database,
-                                                              caller_session::outputs out) {
+                                                              caller_session::outputs out,
+                                                              const std::string& account) {
     if (!can_open_sessions()) {
         return fail(result_code::upstream_unavailable, "not configured yet");
     }
@@ -364,7 +366,8 @@
         return fail(result_code::too_many_callers, "too many callers");
     }
     const std::uint64_t number = m_next_number++;
-    auto session = std::make_shared<caller_session>(number, database, make_session_host(), std::move(out));
+    auto session =
+        std::make_shared<caller_session>(number, database, account, make_session_host(), std::move(out));
     if (m_leaving_since) {
         session->drain_after_next_operation();
     }
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -363,7 +363,7 @@
                {"primary", m_record.m_primary.m_text},
                {"gap_ms", std::to_string(m_outage.elapsed(m_clock.m_now()).count())},
                {"lease", m_lease.is_valid(m_clock.m_now()) ? "held" : "lapsed"}});
-    item->m_done({.m_outcome = work_outcome::not_run, .m_code = code});
+    item->m_done({.m_outcome = work_outcome::not_run, .m_was_sent = item->m_was_sent, .m_code = code});
 }
 
 void group_service::on_result(const pending_ptr& item, const std::shared_ptr<upstream_pool>& pool,
@@ -371,6 +371,7 @@
     const group_request& request = item->m_request;
     const upstream_id upstream = pool->entry().m_id;
     const bool in_transaction = request.m_placement == request_placement::same_connection;
+    item->m_was_sent = item->m_was_sent || result.m_outcome != work_outcome::not_run;
     switch (result.m_outcome) {
     case work_outcome::answered:
         on_answer(item, pool, std::move(result));
@@ -390,7 +391,8 @@
         if (!in_transaction && request.m_retryable && retry(item, upstream, milliseconds{0})) {
             return;
         }
-        item->m_done({.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown});
+        item->m_done(
+            {.m_outcome = work_outcome::lost, .m_was_sent = true, .m_code = result_code::outcome_unknown});
         return;
     }
 }
@@ -412,7 +414,8 @@
         log_event(log_level::warning, "statement.primary_in_doubt",
                   {{"id", request.m_id}, {"upstream", upstream.m_text}});
         pool->close(result.m_connection);
-        item->m_done({.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown});
+        item->m_done(
+            {.m_outcome = work_outcome::lost, .m_was_sent = true, .m_code = result_code::outcome_unknown});
         return;
     }
     const result_code code = result.m_answer.m_code;
@@ -443,6 +446,7 @@
         }
     }
     item->m_done({.m_outcome = work_outcome::answered,
+                  .m_was_sent = true,
                   .m_answer = std::move(result.m_answer),
                   .m_code = code,
                   .m_connection = result.m_connection,
