Spend quotas at the account homes, and keep the set of homes in the store

Quotas were not enforced. account_quotas keeps a bucket an account, under the rights of quota_rights. The active coordinator stores the set in the records table (row account_homes) together with the head row; all read it through the records follower. A row of that key is no group: it is acknowledged at once and never adopted as a record. holders() gives the set once the configuration has accounts, and forwarding_target() the account's home in the same data centre, else another of its homes in turn. Sessions at an instance that may no longer spend are closed once idle, so that their callers reconnect to a home.

Coordinator-silent homes are timed by their last sign of life, and silence during a gap of the coordinator's own polls does not count.

--- a/libs/decisions/include/anvilmount/decisions/account_homes.hpp
+++ b/libs/decisions/include/anvilmount/decisions/account_homes.hpp
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -67,8 +66,8 @@
     std::optional<account_home_set> m_stored{};
     steady_time m_stored_known_since{};         ///< When this instance learned m_stored.
     std::vector<home_candidate> m_candidates{}; ///< Live and not leaving.
-    /// Instances that show signs of life, leaving ones included.
-    std::set<std::string> m_present{};
+    /// When registered instances last gave a sign of life, leaving ones included.
+    std::map<std::string, steady_time> m_last_seen{};
     int m_max_homes{1};
     std::uint64_t m_era{0}; ///< Of the store.
 };
@@ -97,7 +96,7 @@
     [[nodiscard]] std::optional<account_home_set> first(const account_homes_view& view, steady_time now);
 
     options m_options;
-    std::map<std::string, steady_time> m_absent_since; ///< Homes without a sign of life.
+    std::map<std::string, steady_time> m_silent_since; ///< Of each home.
     std::optional<steady_time> m_other_number_since;   ///< The set has another size than is wanted.
     std::optional<steady_time> m_missing_since;        ///< No set is stored.
     std::size_t m_candidates_seen{0};
--- a/libs/decisions/src/account_homes.cpp
+++ b/libs/decisions/src/account_homes.cpp
@@ -148,17 +148,19 @@
     m_missing_since.reset();
     const std::vector<account_home>& stored = view.m_stored->m_homes;
     std::vector<account_home> kept;
-    std::map<std::string, steady_time> absent;
+    std::map<std::string, steady_time> silent_since;
     for (const account_home& each : stored) {
-        if (!view.m_present.contains(each.m_name)) {
-            const auto before = m_absent_since.find(each.m_name);
-            absent[each.m_name] = before == m_absent_since.end() ? now : before->second;
-        }
-        if (!absent.contains(each.m_name) || now < absent[each.m_name] + m_options.m_replace_after) {
+        const auto seen = view.m_last_seen.find(each.m_name);
+        const auto before = m_silent_since.find(each.m_name);
+        const steady_time since = seen != view.m_last_seen.end()   ? seen->second
+                                  : before != m_silent_since.end() ? before->second
+                                                                   : now;
+        silent_since[each.m_name] = since;
+        if (now < since + m_options.m_replace_after) {
             kept.push_back(each);
         }
     }
-    m_absent_since = std::move(absent);
+    m_silent_since = std::move(silent_since);
     std::vector<account_home> wanted = choose_account_homes(kept, view.m_candidates, view.m_max_homes);
     if (wanted.size() == stored.size()) {
         m_other_number_since.reset();
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -5,6 +5,7 @@
 /// the coordinator record and changes the groups' primaries. The others are on standby.
 #pragma once
 
+#include "anvilmount/decisions/account_homes.hpp"
 #include "anvilmount/decisions/confirmation_lease.hpp"
 #include "anvilmount/decisions/group_holders.hpp"
 #include "anvilmount/decisions/process_order.hpp"
@@ -52,6 +53,8 @@
     endpoint m_store_relay_address{};
     data_centre m_data_centre{};
     std::uint32_t m_processor_millis{0}; ///< Processor share, in thousandths of a core.
+    /// Between two changes of the account homes; see account_homes.hpp.
+    milliseconds m_account_homes_interval{10200};
     fleet_intervals m_small_fleet{};
     fleet_intervals m_large_fleet{.m_heartbeat_interval = milliseconds{3000},
                                   .m_poll_interval = milliseconds{10000},
@@ -67,6 +70,12 @@
     process_probe m_probe{};
     /// The configuration's row: a heartbeat succeeds only if the version known here is the newest.
     followed_row m_configuration{};
+    /// The stored set of account homes (nothing: there is none) and the era of the store that it is of.
+    /// Called when the records are read.
+    std::function<void(const std::optional<account_home_set>&, std::uint64_t era)> m_on_account_homes{
+        [](const auto&, std::uint64_t) {}};
+    /// A heartbeat that was sent then succeeded: the records known at that time were the newest.
+    std::function<void(steady_time sent_at)> m_on_heartbeat{[](steady_time) {}};
 };
 
 /// Created and ticked by the gateway, whose groups and lease it updates.
@@ -98,7 +107,14 @@
     /// Returns how many instances are alive, this one included.
     [[nodiscard]] int live_instances() const;
 
-    /// Returns the instances that hold connections to `group`.
+    /// With client accounts: how many account homes there may be. Unset: the deployment has no accounts.
+    void set_max_account_homes(std::optional<int> most) { m_max_account_homes = most; }
+
+    /// Whether `name` is alive and accepts new sessions, as far as is known here.
+    [[nodiscard]] bool takes_sessions(const std::string& name) const;
+
+    /// Returns the instances that hold connections to `group`. With client accounts these are the account
+    /// homes, also those that are away; until a set is stored, those that would be chosen now.
     [[nodiscard]] std::vector<holder_candidate> holders(const group_name& group,
                                                         const holding_limits& limits) const;
 
@@ -146,6 +162,12 @@
     };
 
     void on_records();
+    void adopt_account_homes();
+    /// While active: stores another set of account homes when one is due.
+    void coordinate_account_homes();
+    [[nodiscard]] std::vector<home_candidate> home_candidates() const;
+    [[nodiscard]] account_homes_view make_account_homes_view() const;
+    void write_account_homes(const account_home_set& set);
     void adopt_group_record(const group_name& name, group_service& group);
     [[nodiscard]] const fleet_intervals& intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
@@ -200,6 +222,15 @@
     member_directory m_directory;
     table_follower m_records;
     era_recovery m_recovery;
+    std::optional<int> m_max_account_homes;
+    std::optional<account_home_set> m_account_homes; ///< As stored.
+    store_version m_account_homes_version;           ///< Of its row.
+    std::uint64_t m_account_homes_era{0};            ///< Of the records that it was read with.
+    steady_time m_account_homes_known_since{};
+    account_homes_plan m_homes_plan;
+    steady_time m_next_homes_plan{};
+    /// Since when the members table has been polled without a long gap. Silence before that proves nothing.
+    steady_time m_polled_steadily_since{};
     /// Per group, the version of the records table's row that was last adopted here.
     std::map<group_name, store_version> m_adopted_row_versions;
     /// Per group, the epoch of the newest record that this instance has acknowledged.
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -7,6 +7,7 @@
 
 #include "anvilmount/base/endpoint.hpp"
 #include "anvilmount/base/identifiers.hpp"
+#include "anvilmount/decisions/account_homes.hpp"
 #include "anvilmount/decisions/group_record.hpp"
 #include "anvilmount/decisions/lease_renewals.hpp"
 #include "anvilmount/decisions/store_version.hpp"
@@ -24,8 +25,11 @@
 inline const std::string member_prefix = "member/";
 inline const std::string coordinator_key = "steward";
 
-/// Written with each change of a group's record, so that a heartbeat can be made on the condition that
-/// the records known here are the newest.
+/// Row of the records table with the set of account homes; no group has this name.
+inline const std::string account_homes_key = "account_homes";
+
+/// Written with each change of a group's record or of the account homes, so that a heartbeat can be made on
+/// the condition that the records known here are the newest.
 inline const std::string records_head_key = "records";
 
 /// Newest era of the store in which the table lists every instance that may hold a lease from before.
@@ -85,6 +89,7 @@
 [[nodiscard]] std::string to_text(const coordinator_record& record);
 [[nodiscard]] std::string to_text(const group_record& record);
 [[nodiscard]] std::string to_text(const renewal_counts& counts);
+[[nodiscard]] std::string to_text(const account_home_set& set);
 
 /// Returns nothing when the text is not a record of this type.
 [[nodiscard]] std::optional<member_record> parse_member_record(const std::string& text);
@@ -92,5 +97,6 @@
 [[nodiscard]] std::optional<group_record> parse_group_record(const std::string& text);
 [[nodiscard]] std::optional<std::uint64_t> parse_settled_era(const std::string& text);
 [[nodiscard]] std::optional<renewal_counts> parse_renewal_counts(const std::string& text);
+[[nodiscard]] std::optional<account_home_set> parse_account_home_set(const std::string& text);
 
 }
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "anvilmount/decisions/quota_window.hpp"
+#include "anvilmount/gateway/account_quotas.hpp"
 #include "anvilmount/gateway/caller_session.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/fleet_coordinator.hpp"
@@ -163,6 +164,14 @@
     void check_forwarding_paths() const;
     void apply_members();
     void close_misplaced_sessions();
+    void on_account_homes(const std::optional<account_home_set>& stored, std::uint64_t era);
+    /// Tells the coordinator how many account homes the configuration allows.
+    void apply_accounts();
+    [[nodiscard]] bool can_forward_to(const std::string& name) const;
+    /// Returns the instances of which one should serve a session of `account`, instead of this one; none
+    /// when it is served here.
+    [[nodiscard]] std::vector<holder_candidate> better_placed(const group_service& group,
+                                                              const std::string& account) const;
     [[nodiscard]] session_context make_session_host();
     [[nodiscard]] int max_slots_of(const group_name& name) const;
     [[nodiscard]] group_options options_for(const group_name& name) const;
@@ -176,7 +185,9 @@
     /// Time of the last members poll that was applied here.
     steady_time m_applied_poll_at{};
     bool m_applied_as_coordinator{false}; ///< Whether this instance's coordinator was active then.
+    bool m_account_homes_changed{false};  ///< Since the groups were last told the holders.
     confirmation_lease m_lease;
+    account_quotas m_quotas;
     group_map m_groups;
     fleet_coordinator m_fleet_coordinator;
     fleet_configuration m_configuration;
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -77,6 +77,12 @@
 /// top of the time after which a pool calls the primary silent.
 constexpr milliseconds primary_unreachable_delay{150};
 
+/// Between two decisions about the account homes.
+constexpr milliseconds homes_plan_interval{200};
+
+/// After a longer gap between polls, heartbeats may have been missed.
+constexpr milliseconds max_steady_poll_gap{4000};
+
 /// Members that are named in the log of a promotion.
 constexpr std::size_t max_named_members = 16;
 
@@ -104,7 +110,8 @@
                   .m_directory = &m_directory,
                   .m_records = &m_records,
                   .m_groups = &m_groups},
-                 m_lease.duration() + lease_margin) {}
+                 m_lease.duration() + lease_margin),
+      m_homes_plan({.m_change_interval = m_options.m_account_homes_interval}) {}
 
 void fleet_coordinator::start() {
     m_records.start();
@@ -143,11 +150,34 @@
     for (const auto& [key, row] : m_records.rows()) {
         m_records_head = std::max(m_records_head, row.m_version);
     }
+    if (m_records.is_loaded()) {
+        adopt_account_homes();
+    }
     for (const auto& [name, group] : m_groups) {
         adopt_group_record(name, *group);
     }
 }
 
+void fleet_coordinator::adopt_account_homes() {
+    const store_row row = m_records.known_row(account_homes_key);
+    const std::uint64_t era = m_records.version().m_era;
+    const bool was_read = m_account_homes_known_since != steady_time{};
+    if (was_read && row.m_version == m_account_homes_version && era == m_account_homes_era) {
+        return;
+    }
+    m_account_homes_version = row.m_version;
+    m_account_homes_era = era;
+    m_account_homes_known_since = m_ports.m_clock->m_now();
+    m_account_homes.reset();
+    if (row.m_version.is_set()) {
+        m_account_homes = parse_account_home_set(m_records.rows().at(account_homes_key).m_value);
+        if (!m_account_homes) {
+            log_event(log_level::error, "account_homes.unreadable");
+        }
+    }
+    m_ports.m_on_account_homes(m_account_homes, era);
+}
+
 void fleet_coordinator::apply_records() {
     on_records();
 }
@@ -184,7 +214,7 @@
         const auto adopted = m_adopted_row_versions.find(name);
         const auto own = m_own_acknowledged_epochs.find(name);
         const bool acknowledged =
-            group == m_groups.end() ||
+            key == account_homes_key || group == m_groups.end() ||
             (adopted != m_adopted_row_versions.end() && adopted->second == row.m_version &&
              own != m_own_acknowledged_epochs.end() && own->second >= group->second->record().m_epoch);
         states.push_back({.m_version = row.m_version, .m_acknowledged = acknowledged});
@@ -194,7 +224,7 @@
 
 void fleet_coordinator::adopt_group_record(const group_name& name, group_service& group) {
     const auto row = m_records.rows().find(name.m_text);
-    if (row == m_records.rows().end()) {
+    if (row == m_records.rows().end() || name.m_text == account_homes_key) {
         m_recovery.note_stored_epoch(group, 0);
         return;
     }
@@ -325,6 +355,7 @@
     // The records known here were the newest, and other instances know of this one.
     const bool is_first = !std::exchange(m_last_heartbeat_at, sent_at).has_value();
     m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_recovery.era());
+    m_ports.m_on_heartbeat(sent_at);
     if (m_is_active && renewed) {
         m_coordinator_version = reply.m_version;
         m_coordinator_changed_at = m_ports.m_clock->m_now();
@@ -415,9 +446,13 @@
         return;
     }
     const bool is_first = !m_directory.is_loaded();
+    const steady_time last_read_at = m_directory.read_at();
     if (!m_directory.apply(reply, requested_at - reply.m_age, m_ports.m_clock->m_now())) {
         return;
     }
+    if (m_directory.read_at() > last_read_at + max_steady_poll_gap) {
+        m_polled_steadily_since = m_directory.read_at();
+    }
     // A fleet that starts for the first time finds the table empty, and registers before the second poll.
     m_knows_fleet = m_directory.was_registered() || !is_first;
     if (is_first && m_directory.was_registered()) {
@@ -631,6 +666,16 @@
 
 std::vector<holder_candidate> fleet_coordinator::holders(const group_name& group,
                                                          const holding_limits& limits) const {
+    if (m_max_account_homes) {
+        const std::vector<account_home> homes =
+            m_account_homes ? m_account_homes->m_homes
+                            : choose_account_homes({}, home_candidates(), *m_max_account_homes);
+        std::vector<holder_candidate> holding;
+        for (const account_home& each : homes) {
+            holding.push_back({.m_name = each.m_name, .m_data_centre = each.m_data_centre});
+        }
+        return holding;
+    }
     std::vector<holder_candidate> candidates{
         {.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre}};
     for (const auto& [key, each] : m_directory.members()) {
@@ -643,6 +688,81 @@
     return group_holders(group, limits, candidates);
 }
 
+bool fleet_coordinator::takes_sessions(const std::string& name) const {
+    const auto found = m_directory.members().find(member_prefix + name);
+    return found != m_directory.members().end() && is_alive(found->second) &&
+           !found->second.m_record.m_leaving;
+}
+
+std::vector<home_candidate> fleet_coordinator::home_candidates() const {
+    std::vector<home_candidate> candidates;
+    if (!m_resigned) {
+        candidates.push_back(
+            {.m_home = {.m_name = m_options.m_name, .m_data_centre = m_options.m_data_centre},
+             .m_processor_millis = m_options.m_processor_millis});
+    }
+    for (const auto& [key, each] : m_directory.members()) {
+        const bool other = each.m_record.m_name != m_options.m_name;
+        if (other && is_alive(each) && !each.m_record.m_leaving) {
+            candidates.push_back(
+                {.m_home = {.m_name = each.m_record.m_name, .m_data_centre = each.m_record.m_data_centre},
+                 .m_processor_millis = each.m_record.m_processor_millis});
+        }
+    }
+    return candidates;
+}
+
+account_homes_view fleet_coordinator::make_account_homes_view() const {
+    const steady_time now = m_ports.m_clock->m_now();
+    account_homes_view view{.m_stored = m_account_homes,
+                            .m_stored_known_since = m_account_homes_known_since,
+                            .m_candidates = home_candidates(),
+                            .m_max_homes = *m_max_account_homes,
+                            .m_era = m_recovery.era()};
+    for (const auto& [key, each] : m_directory.members()) {
+        // Silence is measured up to the last poll.
+        const steady_time seen = std::max(each.m_heartbeat_seen_at, m_polled_steadily_since);
+        view.m_last_seen[each.m_record.m_name] =
+            now - std::max(steady_time::duration{0}, m_directory.read_at() - seen);
+    }
+    view.m_last_seen[m_options.m_name] = now;
+    return view;
+}
+
+void fleet_coordinator::coordinate_account_homes() {
+    const steady_time now = m_ports.m_clock->m_now();
+    const bool knows_all = knows_members() && m_records.is_loaded() && m_recovery.has_read_tables() &&
+                           m_records.version() >= m_records_head;
+    if (!m_max_account_homes || now < m_next_homes_plan || !knows_all) {
+        return;
+    }
+    m_next_homes_plan = now + homes_plan_interval;
+    if (const auto set = m_homes_plan.next(make_account_homes_view(), now)) {
+        m_next_homes_plan = now + order_timeout;
+        write_account_homes(*set);
+    }
+}
+
+void fleet_coordinator::write_account_homes(const account_home_set& set) {
+    std::string names;
+    for (const account_home& each : set.m_homes) {
+        names += (names.empty() ? "" : ", ") + each.m_name;
+    }
+    m_ports.m_store->m_change(
+        {.m_expected = {m_records.known_row(account_homes_key)},
+         .m_writes = {{.m_table = records_table, .m_key = account_homes_key, .m_value = to_text(set)},
+                      {.m_table = members_table, .m_key = records_head_key}}},
+        [this, names, generation = set.m_generation](const store_answer& reply) {
+            const bool done = reply.m_status == store_status::done;
+            if (done) {
+                m_metrics.count("account_homes_changed");
+            }
+            log_event(done ? log_level::info : log_level::warning,
+                      done ? "account_homes.changed" : "account_homes.not_written",
+                      {{"generation", std::to_string(generation)}, {"homes", names}});
+        });
+}
+
 std::optional<endpoint> fleet_coordinator::forwarding_address(const std::string& name) const {
     const auto found = m_directory.members().find(member_prefix + name);
     if (found == m_directory.members().end() || found->second.m_record.m_forwarding_address.m_port == 0) {
@@ -718,6 +838,7 @@
         for (const auto& [name, group] : m_groups) {
             coordinate_group(name, *group);
         }
+        coordinate_account_homes();
     }
 }
 
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -27,6 +27,23 @@
     return address == nullptr ? endpoint{} : *address;
 }
 
+json to_json(const std::vector<account_home>& homes) {
+    json list = json::array();
+    for (const account_home& each : homes) {
+        list.push_back({{"name", each.m_name}, {"data_centre", each.m_data_centre.m_text}});
+    }
+    return list;
+}
+
+std::vector<account_home> parse_homes(const json& list) {
+    std::vector<account_home> homes;
+    for (const json& each : list) {
+        homes.push_back({.m_name = each.at("name").get<std::string>(),
+                         .m_data_centre = {each.at("data_centre").get<std::string>()}});
+    }
+    return homes;
+}
+
 /// Returns `read` applied to the parsed text; nothing when the text is not JSON or a field is
 /// missing or has another type.
 template <class Read>
@@ -147,6 +164,25 @@
     return parse_record(text, [](const json& value) { return value.get<renewal_counts>(); });
 }
 
+std::string to_text(const account_home_set& set) {
+    json text{{"generation", set.m_generation}, {"homes", to_json(set.m_homes)}};
+    if (set.m_previous) {
+        text["previous"] = to_json(*set.m_previous);
+    }
+    return text.dump();
+}
+
+std::optional<account_home_set> parse_account_home_set(const std::string& text) {
+    return parse_record(text, [](const json& value) {
+        account_home_set set{.m_generation = value.at("generation").get<std::uint64_t>(),
+                             .m_homes = parse_homes(value.at("homes"))};
+        if (value.contains("previous")) {
+            set.m_previous = parse_homes(value.at("previous"));
+        }
+        return set;
+    });
+}
+
 std::optional<group_record> parse_group_record(const std::string& text) {
     return parse_record(text, [](const json& value) {
         return group_record{.m_epoch = value.at("epoch").get<std::uint64_t>(),
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -59,20 +59,29 @@
       m_relay(m_ports.m_clock, m_era, m_store, m_metrics,
               {.m_table = members_table, .m_key = renewals_prefix + m_options.m_incarnation}),
       m_lease(m_options.m_lease),
-      m_fleet_coordinator({.m_name = m_options.m_name,
-                           .m_incarnation = m_options.m_incarnation,
-                           .m_probe_address = m_options.m_probe_address,
-                           .m_forwarding_address = m_options.m_forwarding_address,
-                           .m_store_relay_address = m_options.m_store_relay_address,
-                           .m_data_centre = m_options.m_data_centre,
-                           .m_processor_millis = m_options.m_processor_millis},
-                          {.m_clock = &m_ports.m_clock,
-                           .m_store = &m_store.port(),
-                           .m_promote = m_ports.m_promote,
-                           .m_read_status = m_ports.m_read_status,
-                           .m_probe = m_ports.m_probe,
-                           .m_configuration = m_ports.m_configuration},
-                          m_lease, m_groups, m_metrics) {
+      m_quotas({.m_name = m_options.m_name,
+                .m_validity = m_options.m_revocation_limit.value_or(m_options.m_lease),
+                .m_window = m_options.m_quota_window},
+               m_metrics),
+      m_fleet_coordinator(
+          {.m_name = m_options.m_name,
+           .m_incarnation = m_options.m_incarnation,
+           .m_probe_address = m_options.m_probe_address,
+           .m_forwarding_address = m_options.m_forwarding_address,
+           .m_store_relay_address = m_options.m_store_relay_address,
+           .m_data_centre = m_options.m_data_centre,
+           .m_processor_millis = m_options.m_processor_millis,
+           .m_account_homes_interval = m_quotas.rights().waiting_time()},
+          {.m_clock = &m_ports.m_clock,
+           .m_store = &m_store.port(),
+           .m_promote = m_ports.m_promote,
+           .m_read_status = m_ports.m_read_status,
+           .m_probe = m_ports.m_probe,
+           .m_configuration = m_ports.m_configuration,
+           .m_on_account_homes = [this](const auto& stored,
+                                        std::uint64_t era) { on_account_homes(stored, era); },
+           .m_on_heartbeat = [this](steady_time at) { m_quotas.on_heartbeat(at); }},
+          m_lease, m_groups, m_metrics) {
     std::vector<store_path> initial_order{store_path{}};
     for (const endpoint& seed : m_options.m_seed_relays) {
         if (seed != m_options.m_store_relay_address) {
@@ -100,9 +109,11 @@
     }
     const steady_time polled_at = m_fleet_coordinator.members_polled_at();
     const bool is_coordinating = m_fleet_coordinator.is_active();
-    if (polled_at == m_applied_poll_at && is_coordinating == m_applied_as_coordinator) {
+    if (polled_at == m_applied_poll_at && is_coordinating == m_applied_as_coordinator &&
+        !m_account_homes_changed) {
         return;
     }
+    m_account_homes_changed = false;
     m_applied_poll_at = polled_at;
     m_applied_as_coordinator = is_coordinating;
     const std::vector<store_relay_candidate> relays = m_fleet_coordinator.store_relays();
@@ -128,7 +139,10 @@
         const auto route = m_configuration.m_routes.find(session->database());
         const auto group =
             route == m_configuration.m_routes.end() ? m_groups.end() : m_groups.find(route->second.m_group);
-        if (group != m_groups.end() && !group->second->options().m_has_connections) {
+        // The home that a session moved to may have ended; it is served elsewhere then.
+        if (group != m_groups.end() && (!group->second->options().m_has_connections ||
+                                        (m_quotas.is_limited(session->account()) &&
+                                         !better_placed(*group->second, session->account()).empty()))) {
             session->drain();
         }
     }
@@ -172,6 +186,7 @@
     log_event(log_level::info, "configuration.adopted",
               {{"revision", std::to_string(newest.m_revision)},
                {"routes", std::to_string(newest.m_routes.size())}});
+    apply_accounts();
     apply_groups();
     const auto forwarded = m_forwarded;
     for (const auto& [number, caller] : forwarded) {
@@ -179,6 +194,24 @@
     }
 }
 
+void gateway::apply_accounts() {
+    m_quotas.adopt_accounts(m_configuration.m_accounts, m_ports.m_clock.m_now());
+    std::optional<int> most;
+    if (!m_configuration.m_accounts.empty()) {
+        for (const auto& [name, service] : m_configuration.m_services) {
+            const int homes = max_account_homes(service.m_max_connections);
+            most = most ? std::min(*most, homes) : homes;
+        }
+        most = most.value_or(1);
+    }
+    m_fleet_coordinator.set_max_account_homes(most);
+}
+
+void gateway::on_account_homes(const std::optional<account_home_set>& stored, std::uint64_t era) {
+    m_quotas.on_set(stored, era, m_ports.m_clock.m_now());
+    m_account_homes_changed = !m_configuration.m_accounts.empty();
+}
+
 void gateway::apply_groups() {
     bool added = false;
     for (const auto& [name, service] : m_configuration.m_services) {
@@ -262,6 +295,8 @@
 }
 
 session_context gateway::make_session_host() {
+    // Of the session's last operation: a session serves one at a time.
+    const auto taken_at = std::make_shared<steady_time>();
     return {.m_find_route = [this](const std::string& database) -> const database_route* {
                 const auto found = m_configuration.m_routes.find(database);
                 return found == m_configuration.m_routes.end() ? nullptr : &found->second;
@@ -285,6 +320,15 @@
                     }
                     return name;
                 },
+            .m_take_quota =
+                [this, taken_at](const std::string& account) {
+                    *taken_at = m_ports.m_clock.m_now();
+                    return m_quotas.take(account, *taken_at);
+                },
+            .m_return_quota =
+                [this, taken_at](const std::string& account) {
+                    m_quotas.give_back(account, *taken_at, m_ports.m_clock.m_now());
+                },
             .m_clock = &m_ports.m_clock,
             .m_metrics = &m_metrics};
 }
@@ -310,30 +354,63 @@
     return !m_leaving_since || m_ports.m_clock.m_now() < *m_leaving_since + balancer_removal_time;
 }
 
+bool gateway::can_forward_to(const std::string& name) const {
+    const auto address = m_fleet_coordinator.forwarding_address(name);
+    const auto backoff =
+        address ? m_forwarding_backoff_until.find(*address) : m_forwarding_backoff_until.end();
+    return address && name != m_options.m_name &&
+           (backoff == m_forwarding_backoff_until.end() || m_ports.m_clock.m_now() >= backoff->second);
+}
+
+std::vector<holder_candidate> gateway::better_placed(const group_service& group,
+                                                     const std::string& account) const {
+    const std::vector<account_home> spenders = m_quotas.spenders(account, m_ports.m_clock.m_now());
+    std::vector<holder_candidate> others;
+    if (spenders.empty()) {
+        if (!group.options().m_has_connections) {
+            others = m_fleet_coordinator.holders(group.options().m_name, group.options().m_limits);
+        }
+    } else {
+        const bool single = m_quotas.has_single_home(account);
+        for (const account_home& each : spenders) {
+            if (each.m_name == m_options.m_name) {
+                // A home serves its own sessions; an alternate those that no home can be found for.
+                if (!single || others.empty()) {
+                    return {};
+                }
+                break;
+            }
+            if (can_forward_to(each.m_name) && m_fleet_coordinator.takes_sessions(each.m_name)) {
+                others.push_back({.m_name = each.m_name, .m_data_centre = each.m_data_centre});
+            }
+        }
+        if (single && others.size() > 1) {
+            others.resize(1);
+        }
+        return others;
+    }
+    std::erase_if(others, [&](const holder_candidate& each) {
+        return !can_forward_to(each.m_name) ||
+               (!m_configuration.m_accounts.empty() && !m_fleet_coordinator.takes_sessions(each.m_name));
+    });
+    return others;
+}
+
 std::optional<endpoint> gateway::forwarding_target(const std::string& database,
-                                                   const std::string& /*account*/) {
+                                                   const std::string& account) {
     const auto route = m_configuration.m_routes.find(database);
     const auto group =
         route == m_configuration.m_routes.end() ? m_groups.end() : m_groups.find(route->second.m_group);
-    if (group == m_groups.end() || group->second->options().m_has_connections) {
+    if (group == m_groups.end()) {
         return std::nullopt;
     }
-    const steady_time now = m_ports.m_clock.m_now();
-    std::vector<holder_candidate> holders =
-        m_fleet_coordinator.holders(group->first, group->second->options().m_limits);
-    std::erase_if(holders, [&](const holder_candidate& each) {
-        const auto address = m_fleet_coordinator.forwarding_address(each.m_name);
-        const auto backoff =
-            address ? m_forwarding_backoff_until.find(*address) : m_forwarding_backoff_until.end();
-        return !address || each.m_name == m_options.m_name ||
-               (backoff != m_forwarding_backoff_until.end() && now < backoff->second);
-    });
-    if (holders.empty()) {
+    const std::vector<holder_candidate> others = better_placed(*group->second, account);
+    if (others.empty()) {
         return std::nullopt;
     }
     m_metrics.count("sessions_handed_on");
     return m_fleet_coordinator.forwarding_address(
-        holder_for_session(holders, m_options.m_data_centre, m_next_number++).m_name);
+        holder_for_session(others, m_options.m_data_centre, m_next_number++).m_name);
 }
 
 void gateway::on_forwarding_failed(const endpoint& target) {
@@ -408,6 +485,7 @@
     for (const auto& [number, session] : m_sessions) {
         session->tick();
     }
+    m_quotas.tick(now);
     check_forwarding_paths();
 }
 
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -55,6 +55,12 @@
 
     gateway::gateway& instance(int number) { return *m_instances.at("i" + std::to_string(number)); }
 
+    /// Returns the instance; null while it does not run.
+    gateway::gateway* find_instance(int number) {
+        const auto found = m_instances.find("i" + std::to_string(number));
+        return found == m_instances.end() ? nullptr : found->second.get();
+    }
+
     /// Returns the number of the instance with the active coordinator; 0 when there is none.
     [[nodiscard]] int coordinator();
 
