--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -584,6 +584,16 @@
                                {"term", group->record().m_term},
                                {"pools", pools}};
     }
+    nlohmann::json homes = nlohmann::json::object();
+    if (const auto& set = m_quotas.rights().known()) {
+        nlohmann::json names = nlohmann::json::array();
+        for (const account_home& each : set->m_homes) {
+            names.push_back(each.m_name);
+        }
+        homes = {{"generation", set->m_generation},
+                 {"homes", names},
+                 {"spends", m_quotas.rights().is_confirmed(now) && !m_quotas.rights().bounds(now).empty()}};
+    }
     return {{"instance", m_options.m_name},
             {"ready", is_ready()},
             {"steward", m_fleet_coordinator.is_active()},
@@ -593,6 +603,7 @@
             {"sessions", m_sessions.size()},
             {"revision", m_configuration.m_revision},
             {"groups", groups},
+            {"account_homes", homes},
             {"metrics", m_metrics.to_json()}};
 }
 
