Keep reads away from upstreams whose outcomes are worse than the others'

Cause: an upstream that answers FAILED keeps its share of the reads and even gains some, since its answers do not count in its answer time; one that goes down and up gets work as soon as it accepts a connection. A read that fails is reported, and one that is never answered waits until its deadline.

Change: with the setting judge_outcomes (default off) the pools record their outcomes, and reads avoid what upstream_outcomes withholds unless nothing else can serve them. A read that was answered FAILED or got no answer is repeated once at another upstream that can answer by its deadline; it is given up early enough for that. Work that only a primary can do is placed as before. A change of an upstream's standing is logged (upstream.standing) and shown in the state dump.

No write is sent twice.

--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -42,6 +42,7 @@
     /// bound.
     std::optional<milliseconds> m_revocation_limit{};
     quota_window m_quota_window{};
+    bool m_judges_outcomes{false}; ///< See group_options.
 };
 
 /// What the gateway needs of the outside.
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -11,6 +11,7 @@
 #include "anvilmount/decisions/group_record.hpp"
 #include "anvilmount/decisions/primary_gap.hpp"
 #include "anvilmount/decisions/upstream_choice.hpp"
+#include "anvilmount/decisions/upstream_outcomes.hpp"
 #include "anvilmount/gateway/upstream_pool.hpp"
 
 #include <array>
@@ -73,6 +74,9 @@
     bool m_is_coordinator{false};
     milliseconds m_drain_limit{0};                      ///< See drain_window.hpp.
     std::array<rank_order, rank_count> m_rank_orders{}; ///< Index: rank - 1; see rank_orders.hpp.
+    /// Whether reads avoid upstreams whose outcomes are worse than the others', and are repeated once
+    /// elsewhere when they fail.
+    bool m_judges_outcomes{false};
 };
 
 /// Places the requests for one group; see the file comment. Not thread-safe.
@@ -103,6 +107,10 @@
     [[nodiscard]] const freshness_floor& freshness() const { return m_freshness; }
     /// Whether this instance knows the group's record and holds its lease.
     [[nodiscard]] bool may_use_primary() const;
+    /// Standing of an upstream by the outcomes of its work; in use unless outcomes are judged.
+    [[nodiscard]] upstream_standing standing_of(const upstream_id& id) const {
+        return m_outcomes ? m_outcomes->standing_of(id) : upstream_standing::in_use;
+    }
     [[nodiscard]] const std::map<upstream_id, std::shared_ptr<upstream_pool>>& pools() const {
         return m_pools;
     }
@@ -121,6 +129,7 @@
         group_request m_request{};
         std::function<void(group_reply)> m_done{};
         int m_attempts{0};
+        bool m_repeated_elsewhere{false}; ///< A read that failed and was repeated; see repeat_elsewhere().
         steady_time m_earliest_retry{};
         std::vector<upstream_id> m_avoided{}; ///< Upstreams that failed to serve the request.
     };
@@ -131,6 +140,20 @@
     [[nodiscard]] std::shared_ptr<upstream_pool> find_pool(const upstream_id& id) const;
     [[nodiscard]] std::shared_ptr<upstream_pool> choose_upstream(pending& item,
                                                                  std::optional<log_position>& min_position);
+    [[nodiscard]] std::vector<read_candidate> read_candidates() const;
+    /// Chooses among `candidates` with regard to their outcomes; nothing if these leave none.
+    [[nodiscard]] std::optional<upstream_id>
+    choose_by_outcomes(const pending& item, const std::vector<read_candidate>& candidates,
+                       const std::optional<log_position>& min_position);
+    /// Whether another upstream than `failed` can still answer the read by its deadline.
+    [[nodiscard]] bool can_answer_elsewhere(const pending& item, const upstream_id& failed) const;
+    /// Repeats a read that failed or got no answer, once, at another upstream; false if that is not
+    /// possible or the request is no such read.
+    [[nodiscard]] bool repeat_elsewhere(const pending_ptr& item, const upstream_id& failed);
+    /// When to give up waiting for the answer: early enough to repeat a read elsewhere.
+    [[nodiscard]] steady_time answer_deadline(const pending& item, const upstream_pool& pool) const;
+    void forget_outcomes(const upstream_id& id);
+    void log_standing_changes();
     /// Returns the log position that an upstream must hold to serve `request`; unset if no
     /// sample of the primary's log proves the staleness bound, so that only the primary may.
     [[nodiscard]] std::optional<log_position> min_position_for(const group_request& request) const;
@@ -168,6 +191,7 @@
     std::optional<steady_time> m_slow_start_until; ///< Set while this instance has just started.
     group_record m_record;
     freshness_floor m_freshness;
+    std::shared_ptr<upstream_outcomes> m_outcomes; ///< Null unless outcomes are judged.
     std::map<upstream_id, std::shared_ptr<upstream_pool>> m_pools;
     /// A replica whose log lacked the position that a read required.
     struct lagging_replica {
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -8,6 +8,7 @@
 #include "anvilmount/decisions/admission.hpp"
 #include "anvilmount/decisions/answer_time.hpp"
 #include "anvilmount/decisions/pool_accounting.hpp"
+#include "anvilmount/decisions/upstream_outcomes.hpp"
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/ports.hpp"
 #include "anvilmount/observe/metrics.hpp"
@@ -21,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace anvilmount::gateway {
 
@@ -108,6 +110,10 @@
     /// Whether the upstream may get work outside open transactions: it is not drained.
     [[nodiscard]] bool accepts_new_work() const;
     void set_limits(pool_limits limits);
+    /// Records the outcomes of this pool's work in `outcomes`; null: nowhere.
+    void record_outcomes_in(std::shared_ptr<upstream_outcomes> outcomes) {
+        m_outcomes = std::move(outcomes);
+    }
 
     /// Queues `work`; its m_done is called exactly once, never before submit() returns.
     void submit(pool_work work);
@@ -192,6 +198,8 @@
     void on_connect_failed(const connection_handle& connection, connect_failure cause);
     void on_answer(const connection_handle& connection, answer reply);
     void on_lost(const connection_handle& connection);
+    void record_outcome(std::uint64_t work_id, work_sign sign);
+    void record_answer(std::uint64_t work_id, const answer& reply);
     void record_response();
     void mark_failing(const char* reason);
     /// Sends waiting work as long as slots and connections are free.
@@ -229,6 +237,7 @@
     std::list<connection_handle> m_open_connections; ///< Connecting, idle and in use.
     std::deque<connection_handle> m_idle;            ///< Most recently used last.
     std::uint64_t m_next_number{1};
+    std::shared_ptr<upstream_outcomes> m_outcomes; ///< Null: not recorded.
     answer_time_estimate m_answer_time;
     std::optional<log_position> m_position;
     steady_time m_last_response_at{};
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -163,7 +163,8 @@
                             [&](const holder_candidate& each) { return each.m_name == m_options.m_name; }),
             .m_is_coordinator = m_fleet_coordinator.is_active(),
             .m_drain_limit = m_options.m_drain_limit,
-            .m_rank_orders = rank_orders_of(m_configuration, name)};
+            .m_rank_orders = rank_orders_of(m_configuration, name),
+            .m_judges_outcomes = m_options.m_judges_outcomes};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
@@ -497,7 +498,8 @@
                                 {"busy", pool->connections().busy()},
                                 {"limit", pool->connections().limit()},
                                 {"in_progress", pool->in_progress()},
-                                {"answer_time_us", pool->answer_time().count()}};
+                                {"answer_time_us", pool->answer_time().count()},
+                                {"standing", name_of(group->standing_of(id))}};
         }
         groups[name.m_text] = {{"epoch", group->record().m_epoch},
                                {"switching", group->record().m_stage == group_stage::switching},
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -43,6 +43,10 @@
 /// through a change of primary would be refused as soon as the new primary is available.
 constexpr milliseconds overdue_wait_timeout{150};
 
+/// A read waits for its answer at least this many times the upstream's usual answer time before it is
+/// given up in order to be repeated elsewhere.
+constexpr int patience_factor = 5;
+
 bool can_run_work(const upstream_pool& pool) {
     return !pool.failing_since() && !pool.is_wrong_upstream() && pool.accepts_new_work();
 }
@@ -54,6 +58,7 @@
                              metrics& counters)
     : m_options(std::move(options)), m_clock(clock), m_connector(connector), m_lease(lease),
       m_metrics(counters), m_slow_start_until(m_clock.m_now() + slow_start_duration),
+      m_outcomes(m_options.m_judges_outcomes ? std::make_shared<upstream_outcomes>() : nullptr),
       m_alive(std::make_shared<bool>(true)) {}
 
 pool_limits group_service::limits_for(const upstream_entry& entry) const {
@@ -79,8 +84,12 @@
 
 void group_service::set_options(const group_options& options) {
     m_options = options;
+    if (m_options.m_judges_outcomes != (m_outcomes != nullptr)) {
+        m_outcomes = m_options.m_judges_outcomes ? std::make_shared<upstream_outcomes>() : nullptr;
+    }
     for (const auto& [id, pool] : m_pools) {
         pool->set_limits(limits_for(pool->entry()));
+        pool->record_outcomes_in(m_outcomes);
     }
 }
 
@@ -101,9 +110,12 @@
         }
         if (known != m_pools.end()) {
             known->second->retire();
+            known->second->record_outcomes_in(nullptr);
+            forget_outcomes(id);
         }
         m_pools[id] =
             std::make_shared<upstream_pool>(entry, limits_for(entry), m_clock, m_connector, m_metrics);
+        m_pools[id]->record_outcomes_in(m_outcomes);
     }
     for (auto item = m_pools.begin(); item != m_pools.end();) {
         if (registered.contains(item->first)) {
@@ -117,9 +129,12 @@
         }
         item->second->set_entry(leaving_entry);
         item->second->refuse_waiting(result_code::upstream_leaving);
-        item = item->second->in_progress() == 0 && item->second->connections_in_use() == 0
-                   ? m_pools.erase(item)
-                   : std::next(item);
+        if (item->second->in_progress() == 0 && item->second->connections_in_use() == 0) {
+            forget_outcomes(item->first);
+            item = m_pools.erase(item);
+        } else {
+            item = std::next(item);
+        }
     }
     place_deferred();
 }
@@ -226,6 +241,21 @@
         return primary && can_run_work(*primary) ? primary : nullptr;
     }
     min_position = min_position_for(item.m_request);
+    const std::vector<read_candidate> candidates = read_candidates();
+    auto chosen = choose_by_outcomes(item, candidates, min_position);
+    if (!chosen) {
+        chosen = choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = item.m_avoided},
+                                 now);
+    }
+    if (!chosen && !item.m_avoided.empty()) {
+        item.m_avoided.clear();
+        chosen = choose_for_read(candidates, {.m_min_position = min_position}, now);
+    }
+    return chosen ? find_pool(*chosen) : nullptr;
+}
+
+std::vector<read_candidate> group_service::read_candidates() const {
+    const bool primary_usable = accepts_new_primary_work();
     std::vector<read_candidate> candidates;
     for (const auto& [id, pool] : m_pools) {
         const bool primary = primary_usable && id == m_record.m_primary;
@@ -241,13 +271,100 @@
              .m_position = pool->position(),
              .m_behind_until = lagging == m_lagging.end() ? steady_time{} : lagging->second.m_avoid_until});
     }
-    auto chosen =
-        choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = item.m_avoided}, now);
-    if (!chosen && !item.m_avoided.empty()) {
-        item.m_avoided.clear();
-        chosen = choose_for_read(candidates, {.m_min_position = min_position}, now);
+    return candidates;
+}
+
+std::optional<upstream_id>
+group_service::choose_by_outcomes(const pending& item, const std::vector<read_candidate>& candidates,
+                                  const std::optional<log_position>& min_position) {
+    if (!m_outcomes) {
+        return std::nullopt;
+    }
+    const steady_time now = m_clock.m_now();
+    std::vector<judged_candidate> judged;
+    for (const read_candidate& each : candidates) {
+        // The primary counts as one also while it may not be used: it is never one of the replicas.
+        if (each.m_usable) {
+            judged.push_back({.m_id = each.m_id, .m_is_primary = each.m_id == m_record.m_primary});
+        }
+    }
+    const read_selection selection = m_outcomes->select(judged, now);
+    if (selection.m_trial && item.m_attempts == 0) {
+        // Only a read that can be repeated elsewhere is risked.
+        const auto trial =
+            std::find_if(candidates.begin(), candidates.end(),
+                         [&](const read_candidate& each) { return each.m_id == *selection.m_trial; });
+        if (choose_for_read({trial, 1}, {.m_min_position = min_position}, now) &&
+            can_answer_elsewhere(item, *selection.m_trial)) {
+            m_metrics.count("trial_reads");
+            m_outcomes->start_trial(*selection.m_trial, now);
+            return selection.m_trial;
+        }
+    }
+    std::vector<upstream_id> excluded = item.m_avoided;
+    excluded.insert(excluded.end(), selection.m_withheld.begin(), selection.m_withheld.end());
+    return choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = excluded}, now);
+}
+
+bool group_service::can_answer_elsewhere(const pending& item, const upstream_id& failed) const {
+    const group_request& request = item.m_request;
+    std::vector<upstream_id> excluded = item.m_avoided;
+    excluded.push_back(failed);
+    const steady_time now = m_clock.m_now();
+    const auto other = choose_for_read(
+        read_candidates(), {.m_min_position = min_position_for(request), .m_excluded = excluded}, now);
+    const auto pool = other ? find_pool(*other) : nullptr;
+    return pool && now + pool->expected_wait(request.m_rank, request.m_account, request.m_target_time) +
+                           pool->answer_time() <
+                       request.m_deadline;
+}
+
+bool group_service::repeat_elsewhere(const pending_ptr& item, const upstream_id& failed) {
+    const group_request& request = item->m_request;
+    if (!m_outcomes || item->m_repeated_elsewhere || !request.m_retryable ||
+        request.m_placement != request_placement::replica_allowed || !can_answer_elsewhere(*item, failed) ||
+        !retry(item, failed, milliseconds{0})) {
+        return false;
+    }
+    m_metrics.count("reads_repeated_elsewhere");
+    item->m_repeated_elsewhere = true;
+    return true;
+}
+
+steady_time group_service::answer_deadline(const pending& item, const upstream_pool& pool) const {
+    const group_request& request = item.m_request;
+    if (!m_outcomes || item.m_repeated_elsewhere || !request.m_retryable ||
+        request.m_placement != request_placement::replica_allowed ||
+        !can_answer_elsewhere(item, pool.entry().m_id)) {
+        return request.m_deadline;
+    }
+    const steady_time now = m_clock.m_now();
+    const steady_time aim = now < request.m_target_time ? request.m_target_time : request.m_deadline;
+    const milliseconds wait = pool.expected_wait(request.m_rank, request.m_account, request.m_target_time);
+    return std::min(request.m_deadline,
+                    now + std::max<steady_time::duration>((aim - now) / 2,
+                                                          wait + pool.answer_time() * patience_factor));
+}
+
+void group_service::forget_outcomes(const upstream_id& id) {
+    if (m_outcomes) {
+        m_outcomes->forget(id);
+    }
+}
+
+void group_service::log_standing_changes() {
+    if (!m_outcomes) {
+        return;
+    }
+    for (const standing_change& change : m_outcomes->take_changes()) {
+        m_metrics.count("upstream_standing_changes");
+        log_event(log_level::warning, "upstream.standing",
+                  {{"upstream", change.m_upstream.m_text},
+                   {"group", m_options.m_name.m_text},
+                   {"from", std::string{name_of(change.m_from)}},
+                   {"to", std::string{name_of(change.m_to)}},
+                   {"reason", std::string{change.m_reason}}});
     }
-    return chosen ? find_pool(*chosen) : nullptr;
 }
 
 void group_service::submit(group_request request, std::function<void(group_reply)> done) {
@@ -329,7 +446,7 @@
                   .m_rank = request.m_rank,
                   .m_target_time = request.m_target_time,
                   .m_send_deadline = latest_start(request),
-                  .m_answer_deadline = request.m_deadline,
+                  .m_answer_deadline = answer_deadline(*item, *pool),
                   .m_retryable = request.m_retryable,
                   .m_primary_only =
                       request.m_placement == request_placement::primary || request.m_acknowledges_write,
@@ -392,7 +509,11 @@
                   {{"id", request.m_id},
                    {"upstream", upstream.m_text},
                    {"tries", std::to_string(item->m_attempts)}});
-        if (!in_transaction && request.m_retryable && retry(item, upstream, milliseconds{0})) {
+        if (m_outcomes && request.m_placement == request_placement::replica_allowed) {
+            if (repeat_elsewhere(item, upstream)) {
+                return;
+            }
+        } else if (!in_transaction && request.m_retryable && retry(item, upstream, milliseconds{0})) {
             return;
         }
         item->m_done({.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown});
@@ -437,6 +558,10 @@
         if (code == result_code::no_fresh_upstream) {
             record_lagging(upstream);
         }
+        if (code == result_code::statement_failed && repeat_elsewhere(item, upstream)) {
+            pool->release_or_close(result.m_connection, result.m_answer.m_state);
+            return;
+        }
         if (may_retry) {
             const bool needs_backoff = code == result_code::queue_full || code == result_code::not_primary;
             if (retry(item, upstream, needs_backoff ? busy_backoff : milliseconds{0})) {
@@ -479,6 +604,7 @@
     for (const auto& [id, pool] : m_pools) {
         pool->tick();
     }
+    log_standing_changes();
     release_old_primary_when_idle();
     update_primary_outage();
     if (!m_deferred.empty()) {
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -33,6 +33,9 @@
 /// loses power, the upstreams keep all of its connections for another 3 s.
 constexpr milliseconds excess_idle_timeout{3000};
 
+/// Work that was given up sooner after it was sent does not tell whether the upstream would have answered.
+constexpr milliseconds min_unanswered_time{100};
+
 constexpr milliseconds initial_connect_backoff{40};
 constexpr milliseconds max_connect_backoff{300};
 
@@ -478,6 +481,7 @@
         const steady_time now = m_clock.m_now();
         m_answer_time.record(std::chrono::duration_cast<microseconds>(now - sent->second), now);
     }
+    record_answer(work_id, reply);
     if (reply.m_code == result_code::unknown_prepared_statement) {
         connection->m_prepared.clear();
     }
@@ -491,11 +495,50 @@
         return;
     }
     m_metrics.count("upstream_connections_lost");
+    record_outcome(connection->m_work_id, work_sign::reset);
     discard(connection, connection->m_state == pooled_connection::state::idle);
     fail_pending(connection);
     dispatch();
 }
 
+void upstream_pool::record_outcome(std::uint64_t work_id, work_sign sign) {
+    const auto sent = m_running.find(work_id);
+    if (!m_outcomes || sent == m_running.end()) {
+        return;
+    }
+    const steady_time now = m_clock.m_now();
+    if (sign == work_sign::unanswered && now < sent->second + min_unanswered_time) {
+        return;
+    }
+    const pool_work& work = m_work.at(work_id);
+    m_outcomes->record(m_entry.m_id,
+                       {.m_sign = sign,
+                        .m_rank = work.m_rank,
+                        .m_answer_time = std::chrono::duration_cast<microseconds>(now - sent->second),
+                        .m_is_comparable = !work.m_primary_only && !work.m_had_connection},
+                       now);
+}
+
+void upstream_pool::record_answer(std::uint64_t work_id, const answer& reply) {
+    if (reply.succeeded()) {
+        record_outcome(work_id, work_sign::served);
+        return;
+    }
+    switch (reply.m_code) {
+    case result_code::statement_failed:
+    case result_code::outcome_unknown:
+    case result_code::statement_timed_out:
+        record_outcome(work_id, work_sign::failed);
+        return;
+    case result_code::queue_full:
+        record_outcome(work_id, work_sign::busy);
+        return;
+    default:
+        // A refusal that is right, as of a replica that lacks a position, is no fault.
+        return;
+    }
+}
+
 void upstream_pool::record_response() {
     m_last_response_at = m_clock.m_now();
     m_consecutive_refusals = 0;
@@ -508,6 +551,9 @@
 void upstream_pool::mark_failing(const char* reason) {
     if (!m_failing_since) {
         m_failing_since = m_clock.m_now();
+        if (m_outcomes) {
+            m_outcomes->record_down(m_entry.m_id, m_clock.m_now());
+        }
         log_event(log_level::warning, "upstream.failing",
                   {{"upstream", m_entry.m_id.m_text}, {"group", m_entry.m_group.m_text}, {"sign", reason}});
     }
@@ -542,6 +588,7 @@
     // The upstream is still running the statement. Once it answers, the connection is reused; a new
     // connection would cost the upstream another slot.
     m_metrics.count("answers_given_up");
+    record_outcome(connection->m_work_id, work_sign::unanswered);
     const std::uint64_t work_id = std::exchange(connection->m_work_id, 0);
     const bool had_connection = m_work.at(work_id).m_had_connection;
     if (!had_connection) {
@@ -582,6 +629,7 @@
             mark_unresponsive();
         }
         if (unresponsive && (work.m_retryable || now >= work.m_answer_deadline)) {
+            record_outcome(connection->m_work_id, work_sign::unanswered);
             close(connection);
         } else if (now >= work.m_answer_deadline) {
             abandon_answer(connection);
