--- a/test/support/loaded_group.hpp
+++ b/test/support/loaded_group.hpp
@@ -292,7 +292,7 @@
     std::shared_ptr<const gateway::session_values> m_no_values{
         std::make_shared<const gateway::session_values>()};
     gateway::upstream_connector m_connector{
-        [this](const endpoint&, const group_name&, const upstream_id& id,
+        [this](const endpoint&, const group_name&, const upstream_id& id, const std::string&,
                gateway::upstream_channel_events events) { return connect(id.m_text, std::move(events)); }};
     std::unique_ptr<gateway::group_service> m_service;
 };
