--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -222,6 +222,33 @@
     BOOST_TEST(one.m_answers.size() + two.m_answers.size() == 80U);
 }
 
+/// Guards against spare connections without account that are opened whenever an account's are in use, and
+/// closed again because nothing uses them.
+BOOST_AUTO_TEST_CASE(a_busy_account_causes_no_connections_without_account) {
+    account_fleet accounts(1);
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    test::test_caller caller(fleet.instance(1), "pay", "one");
+    const auto opened = [&] {
+        return fleet.instance(1)
+            .state_dump()
+            .at("metrics")
+            .at("counters")
+            .value("upstream_connections_opened", 0);
+    };
+    int before = 0;
+    std::size_t sent = 0;
+    for (int step = 0; step < 2000; ++step) {
+        if (caller.m_answers.size() == sent) {
+            ++sent;
+            caller.send(kind::read, "READ one");
+        }
+        fleet.run_for(10ms);
+        before = step == 100 ? opened() : before;
+    }
+    BOOST_TEST(opened() == before);
+    BOOST_TEST(sent > 500U);
+}
+
 /// Guards against the account of a transaction's connection being lost on the way to the pool.
 BOOST_AUTO_TEST_CASE(transactions_run_on_connections_of_their_account) {
     account_fleet accounts(1);
