--- a/libs/decisions/include/anvilmount/decisions/upstream_outcomes.hpp
+++ b/libs/decisions/include/anvilmount/decisions/upstream_outcomes.hpp
@@ -85,6 +85,10 @@
     /// The read after select() goes to m_trial.
     void start_trial(const upstream_id& upstream, steady_time now);
 
+    /// Whether an upstream that is not in full use may serve a read that would be refused otherwise: it
+    /// serves most of its work. A refused caller may come back, one whose statement failed does not.
+    [[nodiscard]] bool may_serve_overflow(const upstream_id& upstream, steady_time now) const;
+
     [[nodiscard]] upstream_standing standing_of(const upstream_id& upstream) const;
 
     /// Returns the changes since the last call.
--- a/libs/decisions/src/upstream_outcomes.cpp
+++ b/libs/decisions/src/upstream_outcomes.cpp
@@ -309,6 +309,15 @@
     }
 }
 
+bool upstream_outcomes::may_serve_overflow(const upstream_id& upstream, steady_time now) const {
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end() || found->second.m_standing == upstream_standing::in_use) {
+        return false;
+    }
+    const bucket own = sum_of(found->second, now);
+    return own.m_work >= min_errors && own.m_errors * 2 < own.m_work;
+}
+
 upstream_standing upstream_outcomes::standing_of(const upstream_id& upstream) const {
     const auto found = m_upstreams.find(upstream);
     return found == m_upstreams.end() ? upstream_standing::in_use : found->second.m_standing;
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -145,6 +145,10 @@
     [[nodiscard]] std::optional<upstream_id>
     choose_by_outcomes(const pending& item, const std::vector<read_candidate>& candidates,
                        const std::optional<log_position>& min_position);
+    /// Chooses an upstream that is withheld for its outcomes but serves most of its work, for a read that
+    /// would be refused otherwise; null if none can serve it in time.
+    [[nodiscard]] std::shared_ptr<upstream_pool>
+    choose_overflow(const pending& item, const std::optional<log_position>& min_position) const;
     /// Whether another upstream than `failed` can still answer the read by its deadline.
     [[nodiscard]] bool can_answer_elsewhere(const pending& item, const upstream_id& failed) const;
     /// Repeats a read that failed or got no answer, once, at another upstream; false if that is not
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -306,6 +306,27 @@
     return choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = excluded}, now);
 }
 
+std::shared_ptr<upstream_pool>
+group_service::choose_overflow(const pending& item, const std::optional<log_position>& min_position) const {
+    const group_request& request = item.m_request;
+    if (!m_outcomes || request.m_placement != request_placement::replica_allowed) {
+        return nullptr;
+    }
+    const steady_time now = m_clock.m_now();
+    std::vector<read_candidate> candidates = read_candidates();
+    std::erase_if(candidates, [&](const read_candidate& each) {
+        return !m_outcomes->may_serve_overflow(each.m_id, now);
+    });
+    const auto chosen =
+        choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = item.m_avoided}, now);
+    auto pool = chosen ? find_pool(*chosen) : nullptr;
+    if (!pool || now + pool->expected_wait(request.m_rank, request.m_account, request.m_target_time) >
+                     latest_start(request)) {
+        return nullptr;
+    }
+    return pool;
+}
+
 bool group_service::can_answer_elsewhere(const pending& item, const upstream_id& failed) const {
     const group_request& request = item.m_request;
     std::vector<upstream_id> excluded = item.m_avoided;
@@ -381,13 +402,16 @@
         return;
     }
     std::optional<log_position> min_position;
-    const auto pool = choose_upstream(*item, min_position);
+    auto pool = choose_upstream(*item, min_position);
     if (!pool) {
         defer_or_refuse(item);
         return;
     }
     const milliseconds wait = pool->expected_wait(request.m_rank, request.m_account, request.m_target_time);
     if (m_clock.m_now() + wait > latest_start(request)) {
+        pool = choose_overflow(*item, min_position);
+    }
+    if (!pool) {
         // The request would start too late; the slots go to requests that can still be on time.
         refuse_async(item, result_code::queue_full);
         return;
--- a/test/gateway/judged_upstreams.cpp
+++ b/test/gateway/judged_upstreams.cpp
@@ -5,8 +5,8 @@
 ///
 /// The load is a group's part of the largest fleet with accounts ("K"), at one instance: 3 upstreams with
 /// 5 slots; per second 18 writes of 8 ms (rank 1, target 200 ms, deadline 1 s), 85 reads of 24 ms (rank 2,
-/// 400 ms, 1 s) and 31 reads of 40 ms (rank 3, 1.2 s, 4 s). The fault lasts from 5 s to 25 s, the load 30
-/// s.
+/// 400 ms, 1 s) and 31 reads of 40 ms (rank 3, 1.2 s, 4 s). The fault lasts from 5 s to 25 s of 30.
+/// One test plays an eighth of that load, the part of one of eight holders, and one four times as much.
 #include "support/loaded_group.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -37,14 +37,16 @@
 };
 
 play_result play(const test::upstream_faults& faults, bool judged, const std::string& faulty = "g-2",
-                 bool flaps = false) {
+                 bool flaps = false, double load = 1) {
     test::loaded_group group(3, 5, {.m_judges_outcomes = judged}, seed);
-    group.offer({.m_name = "writes", .m_rank = 1, .m_per_second = 18, .m_work_ms = 8, .m_writes = true},
+    group.offer(
+        {.m_name = "writes", .m_rank = 1, .m_per_second = 18 * load, .m_work_ms = 8, .m_writes = true},
+        load_time);
+    group.offer({.m_name = "reads", .m_per_second = 85 * load, .m_work_ms = 24, .m_target = 400ms},
                 load_time);
-    group.offer({.m_name = "reads", .m_per_second = 85, .m_work_ms = 24, .m_target = 400ms}, load_time);
     group.offer({.m_name = "reports",
                  .m_rank = 3,
-                 .m_per_second = 31,
+                 .m_per_second = 31 * load,
                  .m_work_ms = 40,
                  .m_target = 1200ms,
                  .m_deadline = 4s},
@@ -145,6 +147,29 @@
     BOOST_TEST(made.m_after.m_received < made.m_before.m_received);
 }
 
+BOOST_AUTO_TEST_CASE(a_holder_of_a_small_part_of_the_load_judges_as_well) {
+    const test::upstream_faults faults{.m_failed = 0.45};
+    const play_result before = play(faults, false, "g-2", false, 0.125);
+    const play_result after = play(faults, true, "g-2", false, 0.125);
+    print("an eighth of the load, FAILED 0.45", "before", before);
+    print("an eighth of the load, FAILED 0.45", "after", after);
+    BOOST_TEST(after.reads_failed() == 0);
+    BOOST_TEST(after.m_received < before.m_received);
+}
+
+BOOST_AUTO_TEST_CASE(judging_takes_nothing_from_writes_while_all_upstreams_are_busy) {
+    for (const test::upstream_faults& faults :
+         {test::upstream_faults{}, test::upstream_faults{.m_failed = 0.45},
+          test::upstream_faults{.m_slowness = 8}}) {
+        const play_result before = play(faults, false, "g-2", false, 4);
+        const play_result after = play(faults, true, "g-2", false, 4);
+        print("four times the load", "before", before);
+        print("four times the load", "after", after);
+        BOOST_TEST(after.m_writes.m_in_target >= before.m_writes.m_in_target);
+        BOOST_TEST(after.m_most_sends_of_a_write == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_bad_primary_keeps_the_work_that_only_a_primary_can_do) {
     const comparison made = compare("primary FAILED 0.45", {.m_failed = 0.45}, "g-1");
     BOOST_TEST(made.m_after.reads_failed() == 0);
