Test which reads a withheld upstream serves while the others are full

Cause: no test failed without the overflow to withheld upstreams.

Change: judged_upstreams expects 95 % of the reads in target that callers get without judging, and upstream_outcomes checks that only an upstream that serves most of its work takes such reads.

--- a/test/gateway/judged_upstreams.cpp
+++ b/test/gateway/judged_upstreams.cpp
@@ -157,7 +157,7 @@
     BOOST_TEST(after.m_received < before.m_received);
 }
 
-BOOST_AUTO_TEST_CASE(judging_takes_nothing_from_writes_while_all_upstreams_are_busy) {
+BOOST_AUTO_TEST_CASE(judging_costs_no_writes_and_few_reads_while_all_upstreams_are_busy) {
     for (const test::upstream_faults& faults :
          {test::upstream_faults{}, test::upstream_faults{.m_failed = 0.45},
           test::upstream_faults{.m_slowness = 8}}) {
@@ -167,6 +167,8 @@
         print("four times the load", "after", after);
         BOOST_TEST(after.m_writes.m_in_target >= before.m_writes.m_in_target);
         BOOST_TEST(after.m_most_sends_of_a_write == 1);
+        // 90 % and 93 % with faults while a withheld upstream got no reads that would be refused.
+        BOOST_TEST(after.reads_in_target() > 0.95 * before.reads_in_target());
     }
 }
 
--- a/test/gateway/upstream_outcomes.cpp
+++ b/test/gateway/upstream_outcomes.cpp
@@ -192,6 +192,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(only_an_upstream_that_serves_most_of_its_work_takes_reads_that_would_be_refused) {
+    for (const double share : {0.2, 1.0}) {
+        judged_group group;
+        group.run_for(5s);
+        BOOST_TEST(!group.m_outcomes.may_serve_overflow({"one"}, group.m_now));
+        group.m_error_share["one"] = 1;
+        group.run_until("one", on_trial);
+        group.m_error_share["one"] = share;
+        group.run_for(5s);
+        BOOST_REQUIRE((group.standing("one") != in_use));
+        BOOST_TEST(group.m_outcomes.may_serve_overflow({"one"}, group.m_now) == (share < 0.5));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_bad_primary_serves_reads_that_no_replica_can) {
     judged_group group;
     group.m_error_share["primary"] = 1;
