Let the steps of quota spending start with full buckets and fill the window

With some guards taken out by hand the program stayed green: in the steady state the buckets are empty, and the run ended before the window was full, so that spending twice stayed under the limit. Now all save up before the second exploration, and each order is played for a whole window.

--- a/test/gateway/quota_steps.cpp
+++ b/test/gateway/quota_steps.cpp
@@ -88,8 +88,12 @@
             m_processes.push_back({.m_quotas = started(instance, m_now), .m_holds = true});
         }
         run(30);
+        hold_all(false);
+    }
+
+    void hold_all(bool holds) {
         for (process& each : m_processes) {
-            each.m_holds = false;
+            each.m_holds = holds;
         }
     }
 
@@ -234,7 +238,7 @@
     if (depth == 0) {
         ++sequences;
         model last = before;
-        last.run(14);
+        last.run(static_cast<int>(span_ticks) - 3);
         BOOST_REQUIRE_MESSAGE(last.is_within_limits(), describe(played));
         return;
     }
@@ -265,8 +269,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(after_a_change_every_order_of_three_steps_stays_within_the_limits) {
+    // All save up their tokens during the change, so that spending twice would exceed the window.
     model changed;
+    changed.hold_all(true);
     changed.play({.m_step = step::change, .m_target = 1}, 30);
+    changed.hold_all(false);
     std::vector<move> played;
     std::uint64_t sequences = 0;
     explore(changed, 3, played, sequences);
