--- a/libs/base/include/anvilmount/base/result_code.hpp
+++ b/libs/base/include/anvilmount/base/result_code.hpp
@@ -29,6 +29,8 @@
     cancel_key_unknown = 1006,
     too_many_callers = 1007,
     unauthenticated = 1008,
+    caller_too_slow = 1009,
+    memory_exhausted = 1010,
 
     copy_unsupported = 1101,
     replication_unsupported = 1102,
--- a/libs/base/src/result_code.cpp
+++ b/libs/base/src/result_code.cpp
@@ -23,6 +23,8 @@
     table_row{result_code::cancel_key_unknown, {"cancel_key_unknown", "08P01", outcome::not_run, false}},
     table_row{result_code::too_many_callers, {"too_many_callers", "53300", outcome::not_run, true}},
     table_row{result_code::unauthenticated, {"unauthenticated", "28000", outcome::not_run, false}},
+    table_row{result_code::caller_too_slow, {"caller_too_slow", "57014", outcome::not_run, true}},
+    table_row{result_code::memory_exhausted, {"memory_exhausted", "53200", outcome::not_run, true}},
 
     table_row{result_code::copy_unsupported, {"copy_unsupported", "0A000", outcome::not_run, false}},
     table_row{result_code::replication_unsupported,
--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -75,6 +75,8 @@
     [[nodiscard]] std::uint64_t number() const { return m_number; }
     [[nodiscard]] const std::string& database() const { return m_database; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
+    /// Bytes of the session's values and prepared statements.
+    [[nodiscard]] std::size_t kept_bytes() const { return m_kept_bytes; }
 
 private:
     struct prepared_statement {
@@ -101,6 +103,10 @@
     void begin(const statement& current);
     void commit(const statement& current);
     void roll_back();
+    void set_value(const statement& current);
+    /// Counts that `added` takes the place of `removed` in what the session keeps; refuses the statement
+    /// and returns false if that were too much.
+    [[nodiscard]] bool may_keep(std::size_t added, std::size_t removed);
     void prepare(const statement& current);
     void deallocate(const statement& current);
     void run(const statement& current);
@@ -137,6 +143,7 @@
     outputs m_outputs;
     std::shared_ptr<const session_values> m_values;
     std::map<std::string, prepared_statement> m_prepared;
+    std::size_t m_kept_bytes{0}; ///< Of m_values and m_prepared; at most max_kept_bytes.
     std::optional<transaction> m_transaction;
     std::deque<statement> m_waiting;
     bool m_busy{false};         ///< The first statement of m_waiting is being served.
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -16,6 +16,10 @@
 /// Limit of prepared statements per session.
 constexpr std::size_t max_prepared = 1000;
 
+/// Limit of the names and texts of a session's values and prepared statements. One message of the greatest
+/// size fits, besides what an ordinary session keeps.
+constexpr std::size_t max_kept_bytes = (std::size_t{1} << 20U) + (std::size_t{128} << 10U);
+
 /// Reserved from a statement's deadline for sending the answer back to the caller.
 constexpr milliseconds return_allowance{20};
 
@@ -144,13 +148,9 @@
     case statement_kind::rollback:
         roll_back();
         return;
-    case statement_kind::set_value: {
-        session_values values = *m_values;
-        values[current.m_name] = current.m_argument;
-        m_values = std::make_shared<const session_values>(std::move(values));
-        reply_success();
+    case statement_kind::set_value:
+        set_value(current);
         return;
-    }
     case statement_kind::prepare:
         prepare(current);
         return;
@@ -206,20 +206,50 @@
     reply_success();
 }
 
+bool caller_session::may_keep(std::size_t added, std::size_t removed) {
+    if (m_kept_bytes - removed + added > max_kept_bytes) {
+        refuse(result_code::message_too_large, "the session keeps too much");
+        return false;
+    }
+    m_kept_bytes = m_kept_bytes - removed + added;
+    return true;
+}
+
+void caller_session::set_value(const statement& current) {
+    const auto known = m_values->find(current.m_name);
+    const std::size_t removed = known == m_values->end() ? 0 : current.m_name.size() + known->second.size();
+    if (!may_keep(current.m_name.size() + current.m_argument.size(), removed)) {
+        return;
+    }
+    session_values values = *m_values;
+    values[current.m_name] = current.m_argument;
+    m_values = std::make_shared<const session_values>(std::move(values));
+    reply_success();
+}
+
 void caller_session::prepare(const statement& current) {
     if (m_prepared.size() >= max_prepared && !m_prepared.contains(current.m_name)) {
         refuse(result_code::protocol_violation, "too many prepared statements");
         return;
     }
+    const auto known = m_prepared.find(current.m_name);
+    const std::size_t removed =
+        known == m_prepared.end() ? 0 : current.m_name.size() + known->second.m_template.size();
+    if (!may_keep(current.m_name.size() + current.m_argument.size(), removed)) {
+        return;
+    }
     m_prepared[current.m_name] = {.m_template = current.m_argument, .m_writes = current.m_writes};
     reply_success();
 }
 
 void caller_session::deallocate(const statement& current) {
-    if (m_prepared.erase(current.m_name) == 0) {
+    const auto known = m_prepared.find(current.m_name);
+    if (known == m_prepared.end()) {
         refuse(result_code::unknown_prepared_statement, "no such prepared statement");
         return;
     }
+    m_kept_bytes -= current.m_name.size() + known->second.m_template.size();
+    m_prepared.erase(known);
     reply_success();
 }
 
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -62,11 +62,14 @@
 
     /// Sends the unsent bytes, shuts down the sending direction and closes after a short delay. Closing a
     /// socket that holds unread bytes resets the connection, which would destroy data still in transit to
-    /// the peer. Nothing more is read, and no handler is called any more.
+    /// the peer. Nothing more is read, and no handler is called any more. A peer that does not read is
+    /// disconnected after a while, as its bytes would be held for ever otherwise.
     void close_after_flush();
 
     [[nodiscard]] bool is_open() const { return m_fd >= 0; }
     [[nodiscard]] std::size_t unsent_bytes() const { return m_output.size() - m_output_sent; }
+    /// Memory that the unsent bytes occupy.
+    [[nodiscard]] std::size_t buffer_size() const { return m_output.capacity(); }
     /// Whether connecting failed because nothing listens at the address (ECONNREFUSED).
     [[nodiscard]] bool was_refused() const { return m_connect_refused; }
     [[nodiscard]] bool is_reading_paused() const { return m_reading_paused; }
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -19,6 +19,9 @@
 /// Some tens of round trips, so that written data has arrived by then.
 constexpr milliseconds linger_time{250};
 
+/// From close_after_flush() until a peer that does not read is reset.
+constexpr milliseconds max_flush_time{30000};
+
 /// TCP keepalive with the shortest intervals that the kernel supports, and the probes that may remain
 /// unanswered.
 constexpr int probe_idle_s = 1;
@@ -152,6 +155,11 @@
             return;
         }
     }
+    // Bytes already sent are dropped before the buffer grows, so that it follows what is unsent.
+    if (m_output_sent > m_output.size() / 2) {
+        m_output.erase(0, m_output_sent);
+        m_output_sent = 0;
+    }
     m_output.append(bytes);
     update_events();
 }
@@ -229,6 +237,12 @@
     }
     m_reading_paused = true;
     update_events();
+    m_reactor.after(max_flush_time, [weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && self->is_open() && !self->m_lingering) {
+            self->reset();
+            self->m_handlers = {};
+        }
+    });
 }
 
 void tcp_stream::linger() {
