Let reads and forwarded sessions leave the data centre by measured paths and the price of bytes

The shares of data_centre_spill were decided nowhere. group_spill now measures a group's answers by data centre and restricts the candidates of each read to those its share permits; holder_by_path chooses the holder of a forwarded session by both hops, with the connect times that forwarding measures.

--- a/libs/decisions/src/data_centre_spill.cpp
+++ b/libs/decisions/src/data_centre_spill.cpp
@@ -15,6 +15,9 @@
 /// An advantage that is smaller is within the noise of the measurements; shares are not raised for it.
 constexpr microseconds min_margin{2000};
 constexpr int margin_divisor = 4;
+/// Reads return already for an advantage that is smaller than this: smoothed times approach equal ones from
+/// above and may stay a little higher.
+constexpr microseconds return_margin{250};
 
 /// Room that is left to the other side.
 constexpr double min_room = 0.1;
@@ -248,7 +251,7 @@
                 continue;
             }
             const auto gained = advantage(rank, view, view.m_there.at(where));
-            if (gained && *gained > microseconds{0}) {
+            if (gained && *gained > return_margin) {
                 continue;
             }
             change_share(state, -1, share_step, false);
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -4,6 +4,8 @@
 /// I/O; adapters provide both through the ports.
 #pragma once
 
+#include "anvilmount/decisions/holder_path.hpp"
+#include "anvilmount/decisions/path_time.hpp"
 #include "anvilmount/decisions/quota_window.hpp"
 #include "anvilmount/gateway/caller_session.hpp"
 #include "anvilmount/gateway/fleet.hpp"
@@ -42,6 +44,9 @@
     /// bound.
     std::optional<milliseconds> m_revocation_limit{};
     quota_window m_quota_window{};
+    /// Milliseconds of answer time that a kilobyte between data centres is worth; 0: reads and sessions are
+    /// placed by distance and load only.
+    double m_remote_byte_price{0};
 };
 
 /// What the gateway needs of the outside.
@@ -120,6 +125,9 @@
     /// served here.
     [[nodiscard]] std::optional<endpoint> forwarding_target(const std::string& database);
 
+    /// The connection for a forwarded session was established after `elapsed`.
+    void on_forwarding_connected(const endpoint& target, microseconds elapsed);
+
     /// Forwards no sessions to `target` for a while.
     void on_forwarding_failed(const endpoint& target);
 
@@ -164,6 +172,7 @@
     [[nodiscard]] session_context make_session_host();
     [[nodiscard]] int max_slots_of(const group_name& name) const;
     [[nodiscard]] group_options options_for(const group_name& name) const;
+    [[nodiscard]] holder_paths paths_to_holders(const database_route& route) const;
 
     gateway_options m_options;
     gateway_ports m_ports;
@@ -194,6 +203,8 @@
     bool m_groups_told_coordinator{false};
     /// Instances that did not accept a forwarded session.
     std::map<endpoint, steady_time> m_forwarding_backoff_until;
+    std::map<endpoint, data_centre> m_forwarding_data_centres; ///< Of the targets chosen so far.
+    std::map<data_centre, windowed_minimum> m_connect_times;   ///< Of forwarded sessions.
     /// For sessions, forwarded callers and prepared names.
     std::uint64_t m_next_number{1};
     /// Names of prepared statements at the upstreams. Key: statement shape and whether it writes.
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -11,6 +11,7 @@
 #include "anvilmount/decisions/group_record.hpp"
 #include "anvilmount/decisions/primary_gap.hpp"
 #include "anvilmount/decisions/upstream_choice.hpp"
+#include "anvilmount/gateway/group_spill.hpp"
 #include "anvilmount/gateway/upstream_pool.hpp"
 
 #include <functional>
@@ -70,6 +71,8 @@
     /// A coordinator keeps one connection per upstream in any case, to poll its status.
     bool m_is_coordinator{false};
     milliseconds m_drain_limit{0}; ///< See drain_window.hpp.
+    double m_remote_byte_price{0}; ///< See data_centre_spill.hpp; fixed while the instance runs.
+    milliseconds m_spill_phase{0}; ///< See spill_options.
 };
 
 /// Places the requests for one group; see the file comment. Not thread-safe.
@@ -104,6 +107,9 @@
         return m_pools;
     }
 
+    /// Shares of reads that leave the data centre, for operators.
+    [[nodiscard]] nlohmann::json spill_state() const { return m_spill.state(); }
+
     /// Whether the recorded primary refuses this instance's connections, has been replaced by
     /// another upstream at its address, has not answered for at least `min_duration`, or is
     /// missing from a complete registry.
@@ -166,6 +172,7 @@
     group_record m_record;
     freshness_floor m_freshness;
     std::map<upstream_id, std::shared_ptr<upstream_pool>> m_pools;
+    group_spill m_spill; ///< Refers to m_pools.
     /// A replica whose log lacked the position that a read required.
     struct lagging_replica {
         steady_time m_avoid_until{};
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "anvilmount/gateway/gateway.hpp"
 
 #include "anvilmount/decisions/drain_window.hpp"
+#include "anvilmount/decisions/placement.hpp"
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
@@ -161,7 +162,11 @@
                 std::any_of(holders.begin(), holders.end(),
                             [&](const holder_candidate& each) { return each.m_name == m_options.m_name; }),
             .m_is_coordinator = m_fleet_coordinator.is_active(),
-            .m_drain_limit = m_options.m_drain_limit};
+            .m_drain_limit = m_options.m_drain_limit,
+            .m_remote_byte_price = m_options.m_remote_byte_price,
+            .m_spill_phase = milliseconds{static_cast<std::int64_t>(
+                stable_hash(name.m_text + " spills at " + m_options.m_name) %
+                static_cast<std::uint64_t>(data_centre_spill::step_interval.count()))}};
 }
 
 void gateway::adopt_configuration(const fleet_configuration& newest) {
@@ -331,8 +336,47 @@
         return std::nullopt;
     }
     m_metrics.count("sessions_handed_on");
-    return m_fleet_coordinator.forwarding_address(
-        holder_for_session(holders, m_options.m_data_centre, m_next_number++).m_name);
+    const holder_candidate& holder =
+        holder_by_path(holders, paths_to_holders(route->second), m_next_number++);
+    const auto target = m_fleet_coordinator.forwarding_address(holder.m_name);
+    if (m_options.m_remote_byte_price > 0 && target) {
+        m_forwarding_data_centres[*target] = holder.m_data_centre;
+        if (holder.m_data_centre != m_options.m_data_centre) {
+            m_metrics.count("sessions_left");
+        }
+    }
+    return target;
+}
+
+/// Returns what holder_by_path() needs for sessions of `route`. At price 0 it needs no paths.
+holder_paths gateway::paths_to_holders(const database_route& route) const {
+    holder_paths paths{.m_here = m_options.m_data_centre, .m_byte_price = m_options.m_remote_byte_price};
+    const auto group = m_groups.find(route.m_group);
+    if (m_options.m_remote_byte_price <= 0 || group == m_groups.end()) {
+        return paths;
+    }
+    const upstream_id& primary = group->second->record().m_primary;
+    for (const auto& [id, entry] : m_upstreams) {
+        // Only the primary serves strongly consistent statements.
+        const bool may_serve = route.m_consistency != consistency::strong || id == primary;
+        if (entry.m_group == route.m_group && may_serve && !entry.m_leaving) {
+            paths.m_upstreams.push_back(entry.m_data_centre);
+        }
+    }
+    const steady_time now = m_ports.m_clock.m_now();
+    for (const auto& [where, times] : m_connect_times) {
+        if (const auto measured = times.at(now)) {
+            paths.m_times[where] = *measured;
+        }
+    }
+    return paths;
+}
+
+void gateway::on_forwarding_connected(const endpoint& target, microseconds elapsed) {
+    const auto where = m_forwarding_data_centres.find(target);
+    if (where != m_forwarding_data_centres.end()) {
+        m_connect_times[where->second].record(elapsed, m_ports.m_clock.m_now());
+    }
 }
 
 void gateway::on_forwarding_failed(const endpoint& target) {
@@ -502,6 +546,9 @@
                                {"primary", group->record().m_primary.m_text},
                                {"term", group->record().m_term},
                                {"pools", pools}};
+        if (auto shares = group->spill_state(); !shares.empty()) {
+            groups[name.m_text]["leaving_reads"] = std::move(shares);
+        }
     }
     return {{"instance", m_options.m_name},
             {"ready", is_ready()},
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -54,7 +54,7 @@
                              metrics& counters)
     : m_options(std::move(options)), m_clock(clock), m_connector(connector), m_lease(lease),
       m_metrics(counters), m_slow_start_until(m_clock.m_now() + slow_start_duration),
-      m_alive(std::make_shared<bool>(true)) {}
+      m_spill(m_options, m_pools, m_metrics), m_alive(std::make_shared<bool>(true)) {}
 
 pool_limits group_service::limits_for(const upstream_entry& entry) const {
     if (!m_options.m_has_connections) {
@@ -239,8 +239,8 @@
              .m_position = pool->position(),
              .m_behind_until = lagging == m_lagging.end() ? steady_time{} : lagging->second.m_avoid_until});
     }
-    auto chosen =
-        choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = item.m_avoided}, now);
+    auto chosen = m_spill.choose(item.m_request, candidates,
+                                 {.m_min_position = min_position, .m_excluded = item.m_avoided}, now);
     if (!chosen && !item.m_avoided.empty()) {
         item.m_avoided.clear();
         chosen = choose_for_read(candidates, {.m_min_position = min_position}, now);
@@ -321,6 +321,7 @@
     outgoing_statement statement = request.m_statement;
     statement.m_min_position = min_position;
     ++item->m_attempts;
+    m_spill.record_sent(request, pool->entry(), m_clock.m_now());
     pool->submit({.m_caller = request.m_caller,
                   .m_rank = request.m_rank,
                   .m_send_deadline = latest_start(request),
@@ -371,6 +372,7 @@
     const group_request& request = item->m_request;
     const upstream_id upstream = pool->entry().m_id;
     const bool in_transaction = request.m_placement == request_placement::same_connection;
+    m_spill.record_result(request, pool->entry(), result, m_clock.m_now());
     switch (result.m_outcome) {
     case work_outcome::answered:
         on_answer(item, pool, std::move(result));
@@ -474,6 +476,7 @@
     for (const auto& [id, pool] : m_pools) {
         pool->tick();
     }
+    m_spill.tick(m_record.m_primary, m_clock.m_now());
     release_old_primary_when_idle();
     update_primary_outage();
     if (!m_deferred.empty()) {
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -249,7 +249,11 @@
     } else if (writes) {
         commit(upstream);
     }
-    return done("proof-" + what.m_id);
+    answer reply = done("proof-" + what.m_id);
+    if (!writes && !commits) {
+        reply.m_rows = upstream.m_rows;
+    }
+    return reply;
 }
 
 void fake_upstreams::commit(fake_upstream& upstream) {
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -35,12 +35,13 @@
     bool m_is_primary{false};
     std::uint64_t m_term{1};
     log_position m_position{.m_term = 1, .m_offset = 100};
-    bool m_down{false};           ///< Refuses connections and runs nothing.
-    bool m_silent{false};         ///< Accepts statements, but answers none.
-    bool m_loses_answers{false};  ///< Runs a statement, then breaks its connection.
-    bool m_replicates{true};      ///< As a replica: applies the commits of the primary.
-    bool m_busy{false};           ///< Refuses reads and writes without running them.
-    milliseconds m_work_time{10}; ///< Per forwarded statement.
+    bool m_down{false};                ///< Refuses connections and runs nothing.
+    bool m_silent{false};              ///< Accepts statements, but answers none.
+    bool m_loses_answers{false};       ///< Runs a statement, then breaks its connection.
+    bool m_replicates{true};           ///< As a replica: applies the commits of the primary.
+    bool m_busy{false};                ///< Refuses reads and writes without running them.
+    milliseconds m_work_time{10};      ///< Per forwarded statement.
+    std::vector<std::string> m_rows{}; ///< Rows of the answer to each read.
     int m_open{0};
     int m_peak_open{0};
 };
