--- a/test/gateway/platform_settings.cpp
+++ b/test/gateway/platform_settings.cpp
@@ -69,3 +69,12 @@
     BOOST_TEST(process.m_exit_code == 2);
     BOOST_TEST(process.m_output.find("'loud'") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(a_negative_price_of_bytes_is_reported_with_the_allowed_range) {
+    const std::string path = settings_file("price", valid_lines + "--remote_byte_price=-1\n");
+    const auto process =
+        test::run_program(test::program("anvilmount-gateway"), {}, "ANVILMOUNT_BOOT=" + path);
+    BOOST_TEST(process.m_exit_code == 2);
+    BOOST_TEST(process.m_output.find("error 1601") != std::string::npos);
+    BOOST_TEST(process.m_output.find("0 to 1000 ms per kilobyte") != std::string::npos);
+}
