Measure no path from failures that may come after work

An answer FAILED was taken as a measurement of the path alone, so that one that came after 30 ms of work could mark a healthy path as slow. Only BEGIN and the refusals BUSY and STALE, which take no work, measure it now.

No test of its own: the fake upstreams have no such failure.

--- a/libs/gateway/src/group_spill.cpp
+++ b/libs/gateway/src/group_spill.cpp
@@ -103,12 +103,20 @@
 void group_spill::record_answer(const group_request& request, const data_centre& where,
                                 const work_result& result, steady_time now) {
     const auto elapsed = std::chrono::duration_cast<microseconds>(now - result.m_sent_at);
-    if (is_begin(request) || !result.m_answer.succeeded()) {
-        // A refusal, like BEGIN, takes no work.
+    const result_code code = result.m_answer.m_code;
+    const bool succeeded = result.m_answer.succeeded();
+    if (!succeeded && code == result_code::queue_full) {
+        m_busy_at[where] = now;
+    }
+    const bool is_refusal =
+        !succeeded && (code == result_code::queue_full || code == result_code::no_fresh_upstream);
+    if (is_refusal || (succeeded && is_begin(request))) {
         m_times[where].record_without_work(elapsed, now);
-        if (result.m_answer.m_code == result_code::queue_full && !result.m_answer.succeeded()) {
-            m_busy_at[where] = now;
-        }
+        return;
+    }
+    if (!succeeded) {
+        // Other failures may come after some work, and measure neither the path nor a read.
+        m_times[where].record_unanswered(false, now);
         return;
     }
     m_times[where].record_read(request.m_rank, elapsed, now);
