--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -12,6 +12,7 @@
 #include "anvilmount/decisions/primary_gap.hpp"
 #include "anvilmount/decisions/upstream_choice.hpp"
 #include "anvilmount/decisions/upstream_outcomes.hpp"
+#include "anvilmount/gateway/group_spill.hpp"
 #include "anvilmount/gateway/upstream_pool.hpp"
 
 #include <array>
@@ -78,6 +79,8 @@
     /// Whether reads avoid upstreams whose outcomes are worse than the others', and are repeated once
     /// elsewhere when they fail.
     bool m_judges_outcomes{false};
+    double m_remote_byte_price{0}; ///< See data_centre_spill.hpp; fixed while the instance runs.
+    milliseconds m_spill_phase{0}; ///< See spill_options.
 };
 
 /// Places the requests for one group; see the file comment. Not thread-safe.
@@ -116,6 +119,9 @@
         return m_pools;
     }
 
+    /// Shares of reads that leave the data centre, for operators.
+    [[nodiscard]] nlohmann::json spill_state() const { return m_spill.state(); }
+
     /// Whether the recorded primary refuses this instance's connections, has been replaced by
     /// another upstream at its address, has not answered for at least `min_duration`, or is
     /// missing from a complete registry.
@@ -130,7 +136,7 @@
         group_request m_request{};
         std::function<void(group_reply)> m_done{};
         int m_attempts{0};
-        bool m_was_sent{false}; ///< In whichever attempt.
+        bool m_was_sent{false};           ///< In whichever attempt.
         bool m_repeated_elsewhere{false}; ///< A read that failed and was repeated; see repeat_elsewhere().
         steady_time m_earliest_retry{};
         std::vector<upstream_id> m_avoided{}; ///< Upstreams that failed to serve the request.
@@ -199,6 +205,7 @@
     freshness_floor m_freshness;
     std::shared_ptr<upstream_outcomes> m_outcomes; ///< Null unless outcomes are judged.
     std::map<upstream_id, std::shared_ptr<upstream_pool>> m_pools;
+    group_spill m_spill; ///< Refers to m_pools.
     /// A replica whose log lacked the position that a read required.
     struct lagging_replica {
         steady_time m_avoid_until{};
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -59,7 +59,7 @@
     : m_options(std::move(options)), m_clock(clock), m_connector(connector), m_lease(lease),
       m_metrics(counters), m_slow_start_until(m_clock.m_now() + slow_start_duration),
       m_outcomes(m_options.m_judges_outcomes ? std::make_shared<upstream_outcomes>() : nullptr),
-      m_alive(std::make_shared<bool>(true)) {}
+      m_spill(m_options, m_pools, m_metrics), m_alive(std::make_shared<bool>(true)) {}
 
 pool_limits group_service::limits_for(const upstream_entry& entry) const {
     if (!m_options.m_has_connections) {
@@ -244,8 +244,8 @@
     const std::vector<read_candidate> candidates = read_candidates();
     auto chosen = choose_by_outcomes(item, candidates, min_position);
     if (!chosen) {
-        chosen = choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = item.m_avoided},
-                                 now);
+        chosen = m_spill.choose(item.m_request, candidates,
+                                {.m_min_position = min_position, .m_excluded = item.m_avoided}, now);
     }
     if (!chosen && !item.m_avoided.empty()) {
         item.m_avoided.clear();
@@ -303,7 +303,8 @@
     }
     std::vector<upstream_id> excluded = item.m_avoided;
     excluded.insert(excluded.end(), selection.m_withheld.begin(), selection.m_withheld.end());
-    return choose_for_read(candidates, {.m_min_position = min_position, .m_excluded = excluded}, now);
+    return m_spill.choose(item.m_request, candidates,
+                          {.m_min_position = min_position, .m_excluded = excluded}, now);
 }
 
 std::shared_ptr<upstream_pool>
@@ -465,6 +466,7 @@
     outgoing_statement statement = request.m_statement;
     statement.m_min_position = min_position;
     ++item->m_attempts;
+    m_spill.record_sent(request, pool->entry(), m_clock.m_now());
     pool->submit({.m_caller = request.m_caller,
                   .m_account = request.m_account,
                   .m_rank = request.m_rank,
@@ -518,6 +520,7 @@
     const upstream_id upstream = pool->entry().m_id;
     const bool in_transaction = request.m_placement == request_placement::same_connection;
     item->m_was_sent = item->m_was_sent || result.m_outcome != work_outcome::not_run;
+    m_spill.record_result(request, pool->entry(), result, m_clock.m_now());
     switch (result.m_outcome) {
     case work_outcome::answered:
         on_answer(item, pool, std::move(result));
@@ -633,6 +636,7 @@
         pool->tick();
     }
     log_standing_changes();
+    m_spill.tick(m_record.m_primary, m_clock.m_now());
     release_old_primary_when_idle();
     update_primary_outage();
     if (!m_deferred.empty()) {
