--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -5,6 +5,7 @@
 #include "platform_records.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
+#include "support/unlimited_callers.hpp"
 
 #include "anvilmount/observe/event_log.hpp"
 #include "anvilmount/wire/tcp_listener.hpp"
@@ -391,16 +392,19 @@
     account_fleet accounts(1);
     test::gateway_fleet& fleet = accounts.m_fleet;
     raw_peer unknown;
-    line_protocol::serve_caller(loop.m_loop, unknown.served_end(), fleet.instance(1));
+    line_protocol::serve_caller(loop.m_loop, unknown.served_end(), fleet.instance(1),
+                                test::unlimited_callers(loop));
     BOOST_TEST(unknown.exchange("START pay one\r\n", fleet).starts_with("ERROR UNAUTHED "));
     BOOST_TEST(unknown.m_is_closed);
 
     raw_peer open;
-    line_protocol::serve_caller(loop.m_loop, open.served_end(), fleet.instance(1));
+    line_protocol::serve_caller(loop.m_loop, open.served_end(), fleet.instance(1),
+                                test::unlimited_callers(loop));
     BOOST_TEST(open.exchange("START open anyone\r\n", fleet) == "READY I -\r\n");
 
     raw_peer caller;
-    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(1));
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(1),
+                                test::unlimited_callers(loop));
     BOOST_TEST(caller.exchange("START pay " + key_one + "\r\n", fleet) == "READY I -\r\n");
     BOOST_TEST(caller.exchange("QUERY q1 READ one\r\n", fleet).starts_with("COMPLETE proof-q1\r\nREADY I"));
     BOOST_TEST(caller.exchange("QUERY q2 BEGIN\r\nQUERY q3 WRITE b\r\n", fleet).find("READY T") !=
@@ -457,11 +461,13 @@
     }
     BOOST_REQUIRE(forwarding > 0);
     raw_peer stranger;
-    line_protocol::serve_caller(loop.m_loop, stranger.served_end(), fleet.instance(forwarding));
+    line_protocol::serve_caller(loop.m_loop, stranger.served_end(), fleet.instance(forwarding),
+                                test::unlimited_callers(loop));
     BOOST_TEST(stranger.exchange("START pay k-of-nobody\r\n", fleet).starts_with("ERROR UNAUTHED "));
 
     raw_peer caller;
-    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding));
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding),
+                                test::unlimited_callers(loop));
     const auto has_received = [&](const std::string& text) {
         loop.run_until([&] { return received.find(text) != std::string::npos; });
     };
@@ -506,7 +512,8 @@
     account_fleet accounts(1);
     test::gateway_fleet& fleet = accounts.m_fleet;
     const auto serve = [&](raw_peer& peer, const std::string& account) {
-        line_protocol::serve_forwarded_caller(loop.m_loop, peer.served_end(), fleet.instance(1));
+        line_protocol::serve_forwarded_caller(loop.m_loop, peer.served_end(), fleet.instance(1),
+                                              test::unlimited_callers(loop));
         return peer.exchange(line_protocol::encode_forwarded_greeting("pay", 5, account), fleet);
     };
     raw_peer unknown;
--- a/test/gateway/forwarded_sessions.cpp
+++ b/test/gateway/forwarded_sessions.cpp
@@ -5,6 +5,7 @@
 #include "line_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
+#include "support/unlimited_callers.hpp"
 
 #include "anvilmount/wire/tcp_listener.hpp"
 
@@ -53,15 +54,6 @@
     std::string m_received;
 };
 
-/// Returns limits that these sessions do not reach. They live as long as the program, since the event loop
-/// calls them.
-std::shared_ptr<line_protocol::caller_limits> unlimited(test::event_loop& loop) {
-    static metrics counters;
-    static std::vector<std::shared_ptr<line_protocol::caller_limits>> all;
-    return all.emplace_back(std::make_shared<line_protocol::caller_limits>(
-        loop.m_loop, line_protocol::caller_limit_options{}, counters));
-}
-
 }
 
 BOOST_AUTO_TEST_CASE(a_session_forwarded_to_a_starting_instance_is_not_judged_by_an_older_configuration) {
@@ -71,7 +63,7 @@
     BOOST_REQUIRE(!fleet.instance(2).can_open_sessions());
     raw_peer sender;
     line_protocol::serve_forwarded_caller(loop.m_loop, sender.served_end(), fleet.instance(2),
-                                          unlimited(loop));
+                                          test::unlimited_callers(loop));
     sender.write(line_protocol::encode_forwarded_greeting(test::gateway_fleet::database_of(5), 5));
     BOOST_TEST(sender.received().empty());
     fleet.run_for(100ms);
@@ -85,7 +77,7 @@
     fleet.start(2);
     raw_peer sender;
     line_protocol::serve_forwarded_caller(loop.m_loop, sender.served_end(), fleet.instance(2),
-                                          unlimited(loop));
+                                          test::unlimited_callers(loop));
     sender.write(line_protocol::encode_forwarded_greeting("pay", 1) + line_protocol::encode_revision(2));
     BOOST_TEST(sender.received().empty());
     fleet.m_configuration.m_revision = 2;
@@ -118,7 +110,7 @@
     BOOST_REQUIRE(forwarding > 0);
     raw_peer caller;
     line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding),
-                                unlimited(loop));
+                                test::unlimited_callers(loop));
     caller.write("START pay caller\r\n");
     QCoreApplication::processEvents(QEventLoop::AllEvents);
     fleet.m_configuration.m_revision = 2;
