Let a lower quota take effect after a delay, and let a test's write name its account

The former quota now stays in force for 0.7 of the validity, 3.5 s at 5 s, where the account has as many homes as before.

The write at the end of a_store_that_forgot_the_set... had no account, which a keyed route refuses since sessions have accounts; it names one now, the check is the same.

--- a/libs/gateway/include/anvilmount/gateway/account_quotas.hpp
+++ b/libs/gateway/include/anvilmount/gateway/account_quotas.hpp
@@ -69,6 +69,7 @@
     /// Quotas of a configuration that other instances may still use.
     struct former_quotas {
         quotas m_quotas{};
+        steady_time m_lowered_at{}; ///< Until then the greater of these and the present ones are in force.
         steady_time m_until{};
     };
 
--- a/libs/gateway/src/account_quotas.cpp
+++ b/libs/gateway/src/account_quotas.cpp
@@ -17,6 +17,15 @@
 /// An account that has not been refused for this long no longer exceeds its quota.
 constexpr milliseconds recovery_time{5000};
 
+/// A lower quota takes effect after this share of the validity, so that callers within the former one are
+/// not cut off while other instances still use it. At 5 s it is in force 3.5 s after it is known here.
+constexpr double lower_quota_delay_share = 0.7;
+
+account_quota greater(const account_quota& left, const account_quota& right) {
+    return {.m_rate = std::max(left.m_rate, right.m_rate),
+            .m_burst = std::max(left.m_burst, right.m_burst)};
+}
+
 }
 
 account_quotas::account_quotas(options limits, metrics& counters)
@@ -33,6 +42,8 @@
     }
     if (newest != m_quotas) {
         m_former.push_back({.m_quotas = std::exchange(m_quotas, std::move(newest)),
+                            .m_lowered_at = now + std::chrono::duration_cast<milliseconds>(
+                                                      m_options.m_validity * lower_quota_delay_share),
                             .m_until = now + m_rights.waiting_time()});
     }
     m_accounts = accounts;
@@ -81,22 +92,29 @@
     const auto bounds = m_rights.bounds(now);
     const bool must_empty = std::exchange(m_fill, m_rights.fill()) != m_rights.fill();
     for (const auto& [account, quota] : m_quotas) {
-        quota_share share = share_of(account, quota, m_options.m_name, bounds);
+        account_quota in_force = quota;
+        std::optional<quota_share> bound;
         for (const former_quotas& each : m_former) {
             // With as many homes as now, no instance's share exceeds that of the greater quota. With
             // another number, the parts of the former quota would be spent besides the new ones.
             const auto before = each.m_quotas.find(account);
-            const bool other_homes =
-                before != each.m_quotas.end() &&
-                std::any_of(bounds.begin(), bounds.end(),
-                            [&, &quota = quota](const quota_rights::homes& set) {
-                                return count_homes(before->second, m_options.m_window, set.size()) !=
-                                       count_homes(quota, m_options.m_window, set.size());
-                            });
+            if (before == each.m_quotas.end()) {
+                continue;
+            }
+            const bool other_homes = std::any_of(
+                bounds.begin(), bounds.end(), [&, &quota = quota](const quota_rights::homes& set) {
+                    return count_homes(before->second, m_options.m_window, set.size()) !=
+                           count_homes(quota, m_options.m_window, set.size());
+                });
             if (other_homes) {
-                share = smaller_share(share, share_of(account, before->second, m_options.m_name, bounds));
+                const quota_share share = share_of(account, before->second, m_options.m_name, bounds);
+                bound = bound ? smaller_share(*bound, share) : share;
+            } else if (now < each.m_lowered_at) {
+                in_force = greater(in_force, before->second);
             }
         }
+        quota_share share = share_of(account, in_force, m_options.m_name, bounds);
+        share = bound ? smaller_share(share, *bound) : share;
         token_bucket& bucket = m_spending[account].m_bucket;
         bucket.set_limits(share.m_rate, share.m_capacity, now);
         if (must_empty) {
@@ -105,7 +123,8 @@
     }
     m_next_apply = m_rights.next_change(now);
     for (const former_quotas& each : m_former) {
-        m_next_apply = m_next_apply == steady_time{} ? each.m_until : std::min(m_next_apply, each.m_until);
+        const steady_time next = now < each.m_lowered_at ? each.m_lowered_at : each.m_until;
+        m_next_apply = m_next_apply == steady_time{} ? next : std::min(m_next_apply, next);
     }
 }
 
--- a/test/gateway/account_quotas.cpp
+++ b/test/gateway/account_quotas.cpp
@@ -241,7 +241,7 @@
     BOOST_TEST(std::count_if(hot.m_done_at.begin(), hot.m_done_at.end(), [&](steady_time at) {
                    return at > fleet.m_clock.now() - milliseconds{5000};
                }) >= 195);
-    BOOST_TEST(fleet.write_succeeds(1, milliseconds{1000}));
+    BOOST_TEST(fleet.write_succeeds(1, milliseconds{1000}, "free"));
 }
 
 BOOST_AUTO_TEST_CASE(without_accounts_no_set_is_stored) {
@@ -319,3 +319,33 @@
     BOOST_TEST(operations > 60000);
     BOOST_TEST(all_refused == 0);
 }
+
+// Callers within the former quota were refused as soon as one instance knew the lower one.
+BOOST_AUTO_TEST_CASE(a_lower_quota_takes_effect_after_a_delay_and_a_higher_one_at_once) {
+    const account_home_set set{.m_generation = 1, .m_homes = {{.m_name = "a", .m_data_centre = {"dc"}}}};
+    constexpr steady_time start{std::chrono::hours{1}};
+    const auto accounts = [](double rate) {
+        return std::map<std::string, gateway::client_account>{
+            {"one", {.m_operations_per_second = rate, .m_burst = 0}}};
+    };
+    metrics counters;
+    gateway::account_quotas quotas({.m_name = "a", .m_validity = milliseconds{5000}}, counters);
+    quotas.adopt_accounts(accounts(100), start);
+    quotas.on_set(set, 1, start);
+    const auto served_in_a_second_from = [&](steady_time from) {
+        int served = 0;
+        for (steady_time now = from; now < from + milliseconds{1000}; now += milliseconds{5}) {
+            quotas.on_heartbeat(now);
+            quotas.tick(now);
+            served += quotas.take("one", now) ? 0 : 1;
+        }
+        return served;
+    };
+    const int before = served_in_a_second_from(start + milliseconds{20000});
+    quotas.adopt_accounts(accounts(40), start + milliseconds{21000});
+    BOOST_TEST(served_in_a_second_from(start + milliseconds{21000}) >= before * 9 / 10);
+    BOOST_TEST(served_in_a_second_from(start + milliseconds{24500}) < before * 3 / 4);
+    BOOST_TEST(served_in_a_second_from(start + milliseconds{25500}) < before / 2);
+    quotas.adopt_accounts(accounts(100), start + milliseconds{26500});
+    BOOST_TEST(served_in_a_second_from(start + milliseconds{26500}) >= before * 9 / 10);
+}
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -294,8 +294,8 @@
     return 0;
 }
 
-bool gateway_fleet::write_succeeds(int number, milliseconds timeout) {
-    test_caller caller(instance(number), "pay");
+bool gateway_fleet::write_succeeds(int number, milliseconds timeout, const std::string& account) {
+    test_caller caller(instance(number), "pay", account);
     if (caller.is_open()) {
         caller.send(gateway::statement_kind::write, "WRITE 1 a");
     }
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -69,7 +69,7 @@
     [[nodiscard]] int coordinator();
 
     /// Writes once through an instance and returns whether the write was acknowledged by then.
-    bool write_succeeds(int number, milliseconds timeout);
+    bool write_succeeds(int number, milliseconds timeout, const std::string& account = {});
 
     /// Ends an instance as if its process was killed: its connections close at once.
     void kill(int number);
