--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -1,7 +1,8 @@
 /// \file client_accounts.cpp
 /// Client accounts in a fleet in virtual time: connections of one account each, keys that are removed,
 /// and instances that cannot confirm that a key is still valid.
-#include "line_channels.hpp"
+#include "caller_connection.hpp"
+#include "line_codec.hpp"
 #include "platform_records.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
@@ -9,6 +10,7 @@
 
 #include "anvilmount/observe/event_log.hpp"
 #include "anvilmount/wire/tcp_listener.hpp"
+#include "anvilmount/wire/tcp_stream.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/gateway/forwarded_sessions.cpp
+++ b/test/gateway/forwarded_sessions.cpp
@@ -1,7 +1,7 @@
 /// \file forwarded_sessions.cpp
 /// Sessions that one instance forwards to another over real connections, while the configuration of
 /// either changes.
-#include "line_channels.hpp"
+#include "caller_connection.hpp"
 #include "line_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
