--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -9,6 +9,7 @@
 #include "anvilmount/gateway/fleet.hpp"
 #include "anvilmount/gateway/group_service.hpp"
 #include "anvilmount/gateway/messages.hpp"
+#include "anvilmount/gateway/session_end.hpp"
 
 #include <deque>
 #include <functional>
@@ -43,7 +44,7 @@
     struct outputs {
         std::function<void(const answer&)> m_answer{};
         /// Closes the caller's connection once all answers have been sent.
-        std::function<void()> m_close{};
+        std::function<void(session_end)> m_close{};
     };
 
     /// `account`: name of the caller's client account; empty without one.
@@ -65,13 +66,13 @@
 
     /// Closes the session once no statement, transaction or prepared operation is open.
     /// Called when the instance leaves, or no longer holds connections to the group.
-    void drain();
+    void drain(session_end cause);
 
     /// Closes the session after its next operation: it was opened while the instance leaves.
-    void drain_after_next_operation() { m_draining = true; }
+    void drain_after_next_operation() { m_drain_cause = session_end::instance_leaving; }
 
     /// Rolls back an open transaction and closes the session at once.
-    void close();
+    void close(session_end cause);
 
     /// Whether no statement is queued or running and no transaction is open.
     [[nodiscard]] bool is_idle() const { return !m_busy && m_waiting.empty() && !m_transaction; }
@@ -83,6 +84,9 @@
     /// Name of the caller's client account; empty on a public route and without client accounts.
     [[nodiscard]] const std::string& account() const { return m_account; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
+    /// Statements without an answer, and since when the oldest is served.
+    [[nodiscard]] std::size_t unanswered() const { return m_waiting.size(); }
+    [[nodiscard]] steady_time unanswered_since() const { return m_arrived; }
     /// Bytes of the session's values and prepared statements.
     [[nodiscard]] std::size_t kept_bytes() const { return m_kept_bytes; }
 
@@ -164,7 +168,7 @@
     bool m_busy{false};         ///< The first statement of m_waiting is being served.
     bool m_disconnected{false}; ///< The caller has disconnected.
     std::uint64_t m_required_revision{0};
-    bool m_draining{false};
+    std::optional<session_end> m_drain_cause; ///< Set: the session closes once nothing is open.
     /// An operation is expected next: the session was just opened, or its last
     /// statement set a value or prepared or deallocated a statement. A draining
     /// session stays open until that operation has ended.
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -114,6 +114,7 @@
                (m_fleet_coordinator.knows_members() || m_fleet_coordinator.has_poll_failed());
     }
     [[nodiscard]] std::uint64_t revision() const { return m_configuration.m_revision; }
+    [[nodiscard]] bool is_leaving() const { return m_leaving_since.has_value(); }
 
     /// Runs `work` once sessions can be opened, or after as long as a caller waits for its session
     /// to open.
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -57,7 +57,7 @@
     if (m_waiting.size() >= max_waiting) {
         log_event(log_level::warning, "caller.too_many_outstanding",
                   {{"caller", std::to_string(m_number)}});
-        close();
+        close(session_end::too_many_outstanding);
         return;
     }
     m_waiting.push_back(std::move(received));
@@ -78,8 +78,8 @@
 }
 
 void caller_session::close_if_draining() {
-    if (m_draining && is_idle() && !m_expects_operation) {
-        close();
+    if (m_drain_cause && is_idle() && !m_expects_operation) {
+        close(*m_drain_cause);
     }
 }
 
@@ -150,7 +150,7 @@
     detach_connection(true);
     m_transaction.reset();
     refuse(code, reason);
-    close();
+    close(session_end::permit_withdrawn);
     return true;
 }
 
@@ -160,7 +160,7 @@
     }
     if (needs_newer_configuration(current)) {
         refuse(result_code::queue_full, "the configuration here is behind");
-        close();
+        close(session_end::configuration_behind);
         return;
     }
     m_expects_operation = current.m_kind == statement_kind::set_value ||
@@ -609,12 +609,12 @@
     }
 }
 
-void caller_session::drain() {
-    m_draining = true;
+void caller_session::drain(session_end cause) {
+    m_drain_cause = cause;
     close_if_draining();
 }
 
-void caller_session::close() {
+void caller_session::close(session_end cause) {
     if (m_closed) {
         return;
     }
@@ -623,7 +623,7 @@
         detach_connection(true);
         m_transaction.reset();
     }
-    m_outputs.m_close();
+    m_outputs.m_close(cause);
 }
 
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -146,7 +146,7 @@
         if (group != m_groups.end() && (!group->second->options().m_has_connections ||
                                         (m_quotas.is_limited(session->account()) &&
                                          !better_placed(*group->second, session->account()).empty()))) {
-            session->drain();
+            session->drain(session_end::misplaced);
         }
     }
 }
@@ -608,7 +608,7 @@
     m_fleet_coordinator.resign();
     const auto sessions = m_sessions;
     for (const auto& [number, session] : sessions) {
-        session->drain();
+        session->drain(session_end::instance_leaving);
     }
     const auto forwarded = m_forwarded;
     for (const auto& [number, caller] : forwarded) {
@@ -629,7 +629,7 @@
     };
     for (const auto& [number, session] : sessions) {
         if (statement_grace_over || (transaction_grace_over && is_inactive(session->inactive_since()))) {
-            session->close();
+            session->close(session_end::grace_period_over);
         }
     }
     const auto forwarded = m_forwarded;
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -64,7 +64,8 @@
     /// socket that holds unread bytes resets the connection, which would destroy data still in transit to
     /// the peer. Nothing more is read, and no handler is called any more. A peer that does not read is
     /// disconnected after a while, as its bytes would be held for ever otherwise.
-    void close_after_flush();
+    /// `on_discarded` is called if the peer has sent bytes in the meantime that nobody reads.
+    void close_after_flush(std::function<void(std::size_t bytes)> on_discarded = {});
 
     [[nodiscard]] bool is_open() const { return m_fd >= 0; }
     [[nodiscard]] std::size_t unsent_bytes() const { return m_output.size() - m_output_sent; }
@@ -82,6 +83,7 @@
     void read_available();
     bool flush();
     void linger();
+    void report_discarded();
     void update_events();
     void fail(close_reason reason);
 
@@ -96,6 +98,7 @@
     bool m_connect_refused{false};
     bool m_close_after_flush{false};
     bool m_lingering{false};
+    std::function<void(std::size_t bytes)> m_on_discarded; ///< See close_after_flush().
 };
 
 }
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -6,11 +6,13 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace anvilmount {
 namespace {
@@ -229,8 +231,9 @@
     }
 }
 
-void tcp_stream::close_after_flush() {
+void tcp_stream::close_after_flush(std::function<void(std::size_t bytes)> on_discarded) {
     m_close_after_flush = true;
+    m_on_discarded = std::move(on_discarded);
     if (unsent_bytes() == 0) {
         linger();
         return;
@@ -259,7 +262,18 @@
     update_events();
     // The owner may drop the stream now: the timer keeps a reference until the stream is closed.
     m_reactor.defer([self = shared_from_this()] { self->m_handlers = {}; });
-    m_reactor.after(linger_time, [self = shared_from_this()] { self->close(); });
+    m_reactor.after(linger_time, [self = shared_from_this()] {
+        self->report_discarded();
+        self->close();
+    });
+}
+
+void tcp_stream::report_discarded() {
+    int unread = 0;
+    if (m_on_discarded && is_open() && ioctl(m_fd, FIONREAD, &unread) == 0 && unread > 0) {
+        m_on_discarded(static_cast<std::size_t>(unread));
+    }
+    m_on_discarded = {};
 }
 
 void tcp_stream::close() {
--- a/test/gateway/account_quotas.cpp
+++ b/test/gateway/account_quotas.cpp
@@ -59,7 +59,7 @@
                              ++m_failed;
                          }
                      },
-                 .m_close = [] {}},
+                 .m_close = [](gateway::session_end) {}},
                 m_account);
         });
         if (const auto* session = std::get_if<0>(&opened)) {
--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -580,7 +580,8 @@
     const auto session = std::make_shared<gateway::caller_session>(
         1, "pay", "one", context,
         gateway::caller_session::outputs{
-            .m_answer = [&](const gateway::answer& reply) { answers.push_back(reply); }, .m_close = [] {}});
+            .m_answer = [&](const gateway::answer& reply) { answers.push_back(reply); },
+            .m_close = [](gateway::session_end) {}});
     const auto run = [&](kind what, const std::string& text) {
         session->on_statement({.m_id = "q", .m_kind = what, .m_text = text});
         for (int step = 0; step < 120; ++step) {
--- a/test/gateway/session_lifetime.cpp
+++ b/test/gateway/session_lifetime.cpp
@@ -22,7 +22,7 @@
             return instance.open_session(
                 "pay", {.m_answer = [this](const gateway::answer& reply) { m_answers.push_back(reply); },
                         .m_close =
-                            [this, &instance] {
+                            [this, &instance](gateway::session_end) {
                                 instance.forget_session(m_session);
                                 m_session.reset();
                             }});
@@ -49,7 +49,7 @@
 BOOST_AUTO_TEST_CASE(a_draining_session_is_not_used_after_its_last_answer) {
     released_session released;
     released.send("q1");
-    released.m_session->drain();
+    released.m_session->drain(gateway::session_end::instance_leaving);
     released.m_fleet.run_for(milliseconds{100});
     BOOST_TEST(released.m_session == nullptr);
     BOOST_REQUIRE(released.m_answers.size() == 1);
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -45,7 +45,7 @@
         return instance.open_session(
             database,
             {.m_answer = [this](const gateway::answer& reply) { m_answers.push_back(reply); },
-             .m_close = [this] { m_closed = true; }},
+             .m_close = [this](gateway::session_end) { m_closed = true; }},
             account);
     });
     if (const auto* failed = std::get_if<failure>(&opened)) {
