--- a/test/gateway/forwarded_sessions.cpp
+++ b/test/gateway/forwarded_sessions.cpp
@@ -5,56 +5,20 @@
 #include "line_codec.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
+#include "support/raw_peer.hpp"
 #include "support/unlimited_callers.hpp"
 
 #include "anvilmount/wire/tcp_listener.hpp"
+#include "anvilmount/wire/tcp_stream.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-#include <array>
 #include <memory>
 #include <vector>
 
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace anvilmount;
 using namespace std::chrono_literals;
-
-namespace {
-
-/// One end of a connection whose other end is served by the code under test.
-class raw_peer {
-public:
-    raw_peer() { BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, m_ends.data()) == 0); }
-    ~raw_peer() { close(m_ends[0]); }
-    raw_peer(const raw_peer&) = delete;
-    raw_peer& operator=(const raw_peer&) = delete;
-
-    [[nodiscard]] int served_end() const { return m_ends[1]; }
-
-    void write(const std::string& text) {
-        BOOST_REQUIRE(send(m_ends[0], text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
-    }
-
-    /// Runs the event loop until nothing is left to do, and returns what was received so far.
-    std::string received() {
-        std::array<char, 4096> chunk{};
-        for (int round = 0; round < 20; ++round) {
-            QCoreApplication::processEvents(QEventLoop::AllEvents);
-        }
-        for (ssize_t size = 0; (size = recv(m_ends[0], chunk.data(), chunk.size(), 0)) > 0;) {
-            m_received.append(chunk.data(), static_cast<std::size_t>(size));
-        }
-        return m_received;
-    }
-
-private:
-    std::array<int, 2> m_ends{};
-    std::string m_received;
-};
-
-}
+using test::raw_peer;
 
 BOOST_AUTO_TEST_CASE(a_session_forwarded_to_a_starting_instance_is_not_judged_by_an_older_configuration) {
     test::event_loop loop;
--- /dev/null
+++ b/test/gateway/session_endings.cpp
@@ -0,0 +1,233 @@
+/// \file session_endings.cpp
+/// Sessions that an instance ends while a statement of the caller is on its way, waits or runs: each
+/// statement that an instance has read gets a complete answer, and "not run" is true.
+#include "caller_connection.hpp"
+#include "line_codec.hpp"
+#include "support/event_loop.hpp"
+#include "support/gateway_fleet.hpp"
+#include "support/raw_peer.hpp"
+#include "support/unlimited_callers.hpp"
+
+#include "anvilmount/wire/tcp_listener.hpp"
+#include "anvilmount/wire/tcp_stream.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+using namespace anvilmount;
+using namespace std::chrono_literals;
+using test::raw_peer;
+
+namespace {
+
+constexpr milliseconds grace{6000};
+
+/// Returns the lines of `text` that complete an answer, or open the session.
+std::ptrdiff_t ready_lines(const std::string& text) {
+    std::ptrdiff_t count = 0;
+    for (std::size_t at = text.find("READY "); at != std::string::npos; at = text.find("READY ", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+/// An instance in virtual time that serves one connection, on which a first statement was answered.
+struct served_connection {
+    test::event_loop m_loop;
+    test::gateway_fleet m_fleet{1};
+    raw_peer m_peer;
+
+    void run_for(milliseconds time) {
+        (void)m_peer.received();
+        m_fleet.run_for(time);
+    }
+
+    void serve_caller() {
+        line_protocol::serve_caller(m_loop.m_loop, m_peer.served_end(), m_fleet.instance(1),
+                                    test::unlimited_callers(m_loop));
+        m_peer.write("START pay caller\r\n");
+        complete_first_statement();
+    }
+
+    void serve_forwarded() {
+        line_protocol::serve_forwarded_caller(m_loop.m_loop, m_peer.served_end(), m_fleet.instance(1),
+                                              test::unlimited_callers(m_loop));
+        m_peer.write(line_protocol::encode_forwarded_greeting("pay", 1));
+        complete_first_statement();
+    }
+
+    void complete_first_statement() {
+        m_peer.write("QUERY first READ 1\r\n");
+        run_for(100ms);
+        BOOST_REQUIRE(ready_lines(m_peer.received()) == 2);
+    }
+};
+
+/// An instance that forwards its callers to a peer which the test plays.
+struct forwarding_instance {
+    test::event_loop m_loop;
+    test::gateway_fleet m_fleet{12, 1, test::test_address(0)};
+    std::vector<std::unique_ptr<tcp_listener>> m_listeners;
+    std::vector<std::shared_ptr<tcp_stream>> m_streams;
+    std::string m_forwarded; ///< What the serving instance received.
+    raw_peer m_caller;
+
+    /// `reply` is called with the newest stream whenever bytes were forwarded.
+    explicit forwarding_instance(std::function<void(forwarding_instance&, tcp_stream&)> reply) {
+        int forwarding = 0;
+        for (int number = 1; number <= 12; ++number) {
+            auto listener =
+                tcp_listener::listen(m_loop.m_loop, test::test_address(number), [this, reply](int fd) {
+                    m_streams.push_back(tcp_stream::adopt(m_loop.m_loop, fd,
+                                                          {.m_on_bytes =
+                                                               [this, reply](std::string_view bytes) {
+                                                                   m_forwarded.append(bytes);
+                                                                   reply(*this, *m_streams.back());
+                                                               },
+                                                           .m_on_closed = [](close_reason) {}}));
+                });
+            m_listeners.push_back(std::move(listener.value()));
+            if (m_fleet.instance(number).forwarding_target("pay")) {
+                forwarding = number;
+            }
+        }
+        BOOST_REQUIRE(forwarding > 0);
+        line_protocol::serve_caller(m_loop.m_loop, m_caller.served_end(), m_fleet.instance(forwarding),
+                                    test::unlimited_callers(m_loop));
+        m_caller.write("START pay caller\r\n");
+        run_until_ready(1);
+    }
+
+    /// Runs until the caller has received so many READY lines, or its connection was closed.
+    void run_until_ready(std::ptrdiff_t count) {
+        m_loop.run_until([&] { return ready_lines(m_caller.received()) >= count || m_caller.is_closed(); });
+    }
+};
+
+/// Answers START, and each of the statements before `last`; then closes without an answer.
+std::function<void(forwarding_instance&, tcp_stream&)> closes_at(const std::string& last) {
+    return [last](forwarding_instance& site, tcp_stream& stream) {
+        if (site.m_forwarded.find(last) != std::string::npos) {
+            stream.close();
+        } else if (site.m_forwarded.find("QUERY") == std::string::npos) {
+            stream.write("READY I -\r\n");
+        } else {
+            stream.write("COMPLETE -\r\nREADY T -\r\n");
+        }
+    };
+}
+
+/// A caller of the fleet whose statements may take longer than the grace period.
+void allow_long_statements(test::gateway_fleet& fleet) {
+    fleet.m_configuration.m_revision = 2;
+    fleet.m_configuration.m_routes["pay"].m_class.m_deadline = 60000ms;
+    fleet.m_configuration.m_routes["pay"].m_latency_target = 50000ms;
+    fleet.instance(1).adopt_configuration(fleet.m_configuration);
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_end_of_its_session_at_a_leaving_instance_is_answered) {
+    served_connection served;
+    served.serve_caller();
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.m_peer.write("QUERY crossing WRITE 1 a\r\n");
+    served.run_for(100ms);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
+    BOOST_TEST(served.m_peer.received().find("ERROR BUSY") != std::string::npos);
+    BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_end_of_its_forwarded_session_is_answered) {
+    served_connection served;
+    served.serve_forwarded();
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.m_peer.write("QUERY crossing WRITE 1 a\r\n");
+    served.run_for(100ms);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
+    BOOST_TEST(served.m_peer.received().find("ERROR BUSY") != std::string::npos);
+    BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_after_one_that_was_refused_for_an_old_configuration_is_answered) {
+    served_connection served;
+    served.serve_forwarded();
+    served.m_peer.write(line_protocol::encode_revision(2) + "QUERY refused READ 1\r\n");
+    (void)served.m_peer.received();
+    served.m_peer.write("QUERY next READ 1\r\n");
+    served.run_for(100ms);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_end_of_an_abandoned_transaction_is_answered) {
+    served_connection served;
+    served.serve_caller();
+    served.m_peer.write("QUERY begin BEGIN\r\n");
+    served.run_for(100ms);
+    served.m_peer.write("QUERY write WRITE 1 a\r\n");
+    served.run_for(100ms);
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(4000ms);
+    served.m_peer.write("QUERY commit COMMIT\r\n");
+    served.run_for(100ms);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 5);
+    BOOST_TEST(served.m_peer.received().find("ERROR ABORTED") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(statements_that_wait_or_run_when_the_grace_period_ends_are_answered) {
+    test::gateway_fleet fleet(1);
+    allow_long_statements(fleet);
+    std::vector<std::unique_ptr<test::test_caller>> callers;
+    for (int number = 0; number < 10; ++number) {
+        callers.push_back(std::make_unique<test::test_caller>(fleet.instance(1), "pay"));
+    }
+    fleet.m_upstreams.at("orders-1").m_work_time = 60000ms;
+    for (const auto& caller : callers) {
+        caller->send(gateway::statement_kind::write, "WRITE 1 a");
+    }
+    fleet.run_for(100ms);
+    fleet.instance(1).leave(grace, [] {});
+    fleet.run_for(grace);
+    int in_doubt = 0;
+    int not_run = 0;
+    for (const auto& caller : callers) {
+        BOOST_REQUIRE(caller->m_answers.size() == 1);
+        in_doubt += caller->m_answers[0].m_code == result_code::outcome_unknown ? 1 : 0;
+        not_run += traits_of(caller->m_answers[0].m_code).m_outcome == outcome::not_run ? 1 : 0;
+    }
+    BOOST_TEST(in_doubt > 0);
+    BOOST_TEST(not_run > 0);
+    BOOST_TEST(in_doubt + not_run == 10);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_without_answer_is_answered_when_its_serving_instance_ends_the_session) {
+    struct {
+        std::vector<std::string> m_before;
+        std::string m_last;
+        std::string m_expected;
+    } const cases[] = {
+        {{}, "QUERY last READ 1", "ERROR ABORTED"},
+        {{}, "QUERY last WRITE 1 a", "ERROR INDOUBT"},
+        {{}, "QUERY last EXECUTE s1 1 a", "ERROR INDOUBT"},
+        {{"QUERY begin BEGIN"}, "QUERY last WRITE 1 a", "ERROR ABORTED"},
+        {{"QUERY begin BEGIN", "QUERY write WRITE 1 a"}, "QUERY last COMMIT", "ERROR INDOUBT"},
+    };
+    for (const auto& each : cases) {
+        forwarding_instance site(closes_at(each.m_last));
+        std::ptrdiff_t answers = 1;
+        for (const std::string& statement : each.m_before) {
+            site.m_caller.write(statement + "\r\n");
+            site.run_until_ready(++answers);
+        }
+        site.m_caller.write(each.m_last + "\r\n");
+        site.run_until_ready(++answers);
+        BOOST_TEST_CONTEXT(each.m_last) {
+            BOOST_TEST(ready_lines(site.m_caller.received()) == answers);
+            BOOST_TEST(site.m_caller.received().find(each.m_expected) != std::string::npos);
+        }
+    }
+}
