Answer statements that are open when the grace period ends

Callers of a leaving instance, and those whose sessions it served for other instances, lost their connection without an answer 0.85 of the grace period after SIGTERM if their statement still waited for a slot or ran. tick_leaving() closed what was left.

What no upstream has been sent is refused as not run now (group_service::stop), and nothing is sent any more. caller_session::end() then answers what runs: in doubt if it is a write outside a transaction or a COMMIT of one that wrote, else as rolled back. A statement refused as not run never reaches an upstream afterwards.

gateway/session_endings, statements_that_wait_or_run_when_the_grace_period_ends_are_answered, failed before with no answer to any of ten statements.

--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -43,7 +43,8 @@
     /// Callbacks through which the session reaches its caller.
     struct outputs {
         std::function<void(const answer&)> m_answer{};
-        /// Closes the caller's connection once all answers have been sent.
+        /// The session has ended: all its statements are answered, and it serves no more. The connection
+        /// refuses what the caller has sent meanwhile.
         std::function<void(session_end)> m_close{};
     };
 
@@ -64,14 +65,18 @@
     /// Rolls back a transaction that has held a connection idle for longer than the timeout.
     void tick();
 
-    /// Closes the session once no statement, transaction or prepared operation is open.
+    /// Ends the session once no statement, transaction or prepared operation is open.
     /// Called when the instance leaves, or no longer holds connections to the group.
     void drain(session_end cause);
 
-    /// Closes the session after its next operation: it was opened while the instance leaves.
+    /// Ends the session after its next operation: it was opened while the instance leaves.
     void drain_after_next_operation() { m_drain_cause = session_end::instance_leaving; }
 
-    /// Rolls back an open transaction and closes the session at once.
+    /// Answers the open statements with what is known of them, rolls back an open transaction and serves
+    /// no more.
+    void end();
+
+    /// As end(), and reports the end by m_close.
     void close(session_end cause);
 
     /// Whether no statement is queued or running and no transaction is open.
@@ -137,6 +142,10 @@
     void on_transaction_reply(const statement& current, group_reply reply);
     void on_autocommit_reply(bool writes, group_reply reply);
     void on_connection_lost();
+    /// Answers the statements that are open when the session ends.
+    void answer_unfinished();
+    /// Gives back what the reply to a statement brings after the session has ended.
+    void discard(const group_reply& reply);
     /// Returns the transaction's connection to its pool, after a ROLLBACK if required.
     void detach_connection(bool must_roll_back);
     /// Rolls back the open transaction; later statements of it are refused.
@@ -166,7 +175,7 @@
     std::optional<transaction> m_transaction;
     std::deque<statement> m_waiting;
     bool m_busy{false};         ///< The first statement of m_waiting is being served.
-    bool m_disconnected{false}; ///< The caller has disconnected.
+    bool m_disconnected{false}; ///< No answer can reach the caller any more.
     std::uint64_t m_required_revision{0};
     std::optional<session_end> m_drain_cause; ///< Set: the session closes once nothing is open.
     /// An operation is expected next: the session was just opened, or its last
--- a/libs/gateway/include/anvilmount/gateway/group_service.hpp
+++ b/libs/gateway/include/anvilmount/gateway/group_service.hpp
@@ -104,6 +104,10 @@
     /// Serves `request` and calls `done` exactly once, never before submit() returns.
     void submit(group_request request, std::function<void(group_reply)> done);
 
+    /// Refuses everything that no upstream has been sent, now and from now on. The answers to what runs are
+    /// still awaited.
+    void stop(result_code code);
+
     /// Enforces timeouts and places deferred requests; to be called every few milliseconds.
     void tick();
 
@@ -215,7 +219,8 @@
     primary_gap m_outage{gap_expectation{}};
     std::map<upstream_id, lagging_replica> m_lagging;
     bool m_registry_complete{false};
-    std::list<pending_ptr> m_deferred; ///< Waiting for a usable upstream or the end of a backoff.
+    std::optional<result_code> m_stopped; ///< Set by stop(): the reason.
+    std::list<pending_ptr> m_deferred;    ///< Waiting for a usable upstream or the end of a backoff.
     std::function<void()> m_on_old_primary_released; ///< Set while the old primary is still in use.
     steady_time m_old_primary_deadline{};
     std::shared_ptr<bool> m_alive;
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -44,7 +44,7 @@
 }
 
 session_state caller_session::state() const {
-    if (!m_transaction) {
+    if (!m_transaction || m_closed) {
         return session_state::idle;
     }
     return m_transaction->m_failed ? session_state::failed : session_state::in_transaction;
@@ -54,13 +54,13 @@
     if (m_closed) {
         return;
     }
-    if (m_waiting.size() >= max_waiting) {
+    m_waiting.push_back(std::move(received));
+    if (m_waiting.size() > max_waiting) {
         log_event(log_level::warning, "caller.too_many_outstanding",
                   {{"caller", std::to_string(m_number)}});
         close(session_end::too_many_outstanding);
         return;
     }
-    m_waiting.push_back(std::move(received));
     serve_next();
 }
 
@@ -93,7 +93,7 @@
     m_context.m_metrics->count(done.succeeded() ? "statements_done" : "statements_failed");
     m_context.m_metrics->record_duration(
         "statement_time", std::chrono::duration_cast<microseconds>(m_context.m_clock->m_now() - m_arrived));
-    if (!m_disconnected && !m_closed) {
+    if (!m_disconnected) {
         m_outputs.m_answer(done);
     }
 }
@@ -406,6 +406,10 @@
 
 void caller_session::on_autocommit_reply(bool writes, group_reply reply) {
     return_quota(reply);
+    if (m_disconnected) {
+        discard(reply);
+        return;
+    }
     switch (reply.m_outcome) {
     case work_outcome::answered:
         reply.m_pool->release_or_close(reply.m_connection, reply.m_answer.m_state);
@@ -472,6 +476,15 @@
 void caller_session::on_begin_reply(const statement& current, const group_reply& reply) {
     return_quota(reply);
     const bool has_begun = reply.m_outcome == work_outcome::answered && reply.m_answer.succeeded();
+    if (m_disconnected) {
+        m_transaction.reset();
+        if (has_begun) {
+            reply.m_pool->roll_back_and_release(reply.m_connection);
+        } else {
+            discard(reply);
+        }
+        return;
+    }
     if (!has_begun) {
         if (reply.m_outcome == work_outcome::answered) {
             reply.m_pool->release_or_close(reply.m_connection, reply.m_answer.m_state);
@@ -490,11 +503,6 @@
             self->on_connection_lost();
         }
     };
-    if (m_disconnected) {
-        detach_connection(true);
-        m_transaction.reset();
-        return;
-    }
     run_on_connection(current);
 }
 
@@ -609,21 +617,53 @@
     }
 }
 
+void caller_session::discard(const group_reply& reply) {
+    if (reply.m_outcome == work_outcome::answered) {
+        reply.m_pool->release_or_close(reply.m_connection, reply.m_answer.m_state);
+    }
+}
+
 void caller_session::drain(session_end cause) {
     m_drain_cause = cause;
     close_if_draining();
 }
 
 void caller_session::close(session_end cause) {
+    if (!m_closed) {
+        end();
+        m_outputs.m_close(cause);
+    }
+}
+
+void caller_session::end() {
     if (m_closed) {
         return;
     }
     m_closed = true;
-    if (m_transaction && !m_busy) {
+    const bool is_served = m_busy;
+    answer_unfinished();
+    m_disconnected = true;
+    m_busy = is_served;
+    if (m_transaction && !is_served) {
         detach_connection(true);
         m_transaction.reset();
     }
-    m_outputs.m_close(cause);
+}
+
+void caller_session::answer_unfinished() {
+    if (m_busy) {
+        const statement& served = m_waiting.front();
+        const bool may_be_kept = m_transaction
+                                     ? served.m_kind == statement_kind::commit && m_transaction->m_wrote
+                                     : is_write(served);
+        refuse(may_be_kept ? result_code::outcome_unknown : result_code::transaction_lost,
+               "the session ended before the answer");
+    }
+    while (!m_waiting.empty()) {
+        m_arrived = m_context.m_clock->m_now();
+        refuse(m_transaction ? result_code::transaction_lost : result_code::queue_full,
+               "the session has ended");
+    }
 }
 
 }
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -627,6 +627,11 @@
     const auto is_inactive = [now = m_ports.m_clock.m_now()](const std::optional<steady_time>& since) {
         return since && now >= *since + min_inactive_time;
     };
+    if (statement_grace_over && m_on_left) {
+        for (const auto& [name, group] : m_groups) {
+            group->stop(result_code::instance_leaving);
+        }
+    }
     for (const auto& [number, session] : sessions) {
         if (statement_grace_over || (transaction_grace_over && is_inactive(session->inactive_since()))) {
             session->close(session_end::grace_period_over);
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -396,7 +396,21 @@
     place(item);
 }
 
+void group_service::stop(result_code code) {
+    m_stopped = code;
+    for (const auto& [id, pool] : m_pools) {
+        pool->refuse_waiting(code);
+    }
+    for (const pending_ptr& item : std::exchange(m_deferred, {})) {
+        refuse(item, code);
+    }
+}
+
 void group_service::place(const pending_ptr& item) {
+    if (m_stopped) {
+        refuse_async(item, *m_stopped);
+        return;
+    }
     const group_request& request = item->m_request;
     if (request.m_placement == request_placement::same_connection) {
         send(item, request.m_pool, std::nullopt);
@@ -490,7 +504,7 @@
 bool group_service::retry(const pending_ptr& item, const upstream_id& failed_upstream,
                           milliseconds backoff) {
     const steady_time now = m_clock.m_now();
-    if (item->m_attempts >= max_attempts || now + backoff >= item->m_request.m_deadline) {
+    if (m_stopped || item->m_attempts >= max_attempts || now + backoff >= item->m_request.m_deadline) {
         return false;
     }
     m_metrics.count("statements_repeated");
