Announce the end of a session, and let the other end close the connection

Callers got neither an answer nor a refusal when their statement was on its way while an instance closed their session: the instance left, another one had become better placed, its configuration was older than the forwarding instance's, or the key was gone.

Only the peer knows whether it has sent. An instance now announces the end of a session by an error outside any answer, and the peer closes. To a peer that has sent a statement meanwhile the error is the first line of the answer; a READY line completes the refusal, and the statement is not run. A forwarding instance passes the announcement on, so the caller's end decides on both hops. When the serving instance is lost without an announcement, its statements are answered: in doubt if they may be kept, else as rolled back.

gateway/client_accounts expected that the connection of a withdrawn key is closed with the refusal. That is the fault: it now expects the announcement, that nothing is served afterwards, and that the connection is closed all the same when the peer does not close it.

--- a/libs/gateway/include/anvilmount/gateway/outstanding_statements.hpp
+++ b/libs/gateway/include/anvilmount/gateway/outstanding_statements.hpp
@@ -1,5 +1,6 @@
 /// \file outstanding_statements.hpp
-/// The statements of a forwarded session that the serving instance has not answered, oldest first.
+/// The statements of a forwarded session that the serving instance has not answered, oldest first, and
+/// what their caller is told when that instance is lost.
 #pragma once
 
 #include "anvilmount/gateway/messages.hpp"
@@ -32,6 +33,11 @@
     /// Requires that there is one.
     [[nodiscard]] const outstanding_statement& oldest() const { return m_statements.front(); }
 
+    /// Returns what is true of all these statements when the session is lost: transaction_lost if nothing
+    /// of them can be kept, as only a COMMIT, or a write outside a transaction, is; otherwise
+    /// outcome_unknown. `in_transaction`: the session was in a transaction before the oldest.
+    [[nodiscard]] result_code code_after_loss(bool in_transaction) const;
+
 private:
     std::deque<outstanding_statement> m_statements;
 };
--- a/libs/gateway/include/anvilmount/gateway/session_end.hpp
+++ b/libs/gateway/include/anvilmount/gateway/session_end.hpp
@@ -17,7 +17,8 @@
     configuration_behind,         ///< The instance that forwards the session has a newer configuration.
     permit_withdrawn,             ///< The key is unknown, or belongs to another account now.
     too_many_outstanding,         ///< The caller sent too many statements ahead.
-    serving_instance_closed,      ///< The instance that served the forwarded session closed it.
+    serving_instance_ended,       ///< The instance that served the forwarded session announced its end.
+    serving_instance_closed,      ///< That instance closed the connection without an announcement.
     serving_instance_unreachable, ///< The connection to that instance failed.
 };
 
--- a/libs/gateway/src/outstanding_statements.cpp
+++ b/libs/gateway/src/outstanding_statements.cpp
@@ -1,7 +1,9 @@
 /// \file outstanding_statements.cpp
-/// Keeps of each statement only what is needed to log it.
+/// Keeps of each statement only its id and kind.
 #include "anvilmount/gateway/outstanding_statements.hpp"
 
+#include <algorithm>
+
 namespace anvilmount::gateway {
 namespace {
 
@@ -18,6 +20,17 @@
         {.m_id = logged_id(received.m_id), .m_kind = received.m_kind, .m_received_at = now});
 }
 
+result_code outstanding_statements::code_after_loss(bool in_transaction) const {
+    const bool may_be_kept =
+        std::any_of(m_statements.begin(), m_statements.end(), [&](const outstanding_statement& each) {
+            // Whether an EXECUTE writes is known only where its statement was prepared.
+            const bool may_write =
+                each.m_kind == statement_kind::write || each.m_kind == statement_kind::execute;
+            return each.m_kind == statement_kind::commit || (!in_transaction && may_write);
+        });
+    return may_be_kept ? result_code::outcome_unknown : result_code::transaction_lost;
+}
+
 void outstanding_statements::remove_oldest() {
     if (!m_statements.empty()) {
         m_statements.pop_front();
--- a/libs/gateway/src/session_end.cpp
+++ b/libs/gateway/src/session_end.cpp
@@ -26,6 +26,8 @@
         return "permit_withdrawn";
     case session_end::too_many_outstanding:
         return "too_many_outstanding";
+    case session_end::serving_instance_ended:
+        return "serving_instance_ended";
     case session_end::serving_instance_closed:
         return "serving_instance_closed";
     case session_end::serving_instance_unreachable:
--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -6,6 +6,7 @@
 #include "platform_records.hpp"
 #include "support/event_loop.hpp"
 #include "support/gateway_fleet.hpp"
+#include "support/raw_peer.hpp"
 #include "support/unlimited_callers.hpp"
 
 #include "anvilmount/observe/event_log.hpp"
@@ -18,11 +19,11 @@
 #include <cstdio>
 #include <deque>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace anvilmount;
 using namespace std::chrono_literals;
+using test::raw_peer;
 using kind = gateway::statement_kind;
 using gateway::statement_permit;
 
@@ -61,44 +62,20 @@
     }
 };
 
-/// One end of a connection whose other end is served by the code under test.
-class raw_peer {
-public:
-    raw_peer() { BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, m_ends.data()) == 0); }
-    ~raw_peer() { close(m_ends[0]); }
-    raw_peer(const raw_peer&) = delete;
-    raw_peer& operator=(const raw_peer&) = delete;
-
-    [[nodiscard]] int served_end() const { return m_ends[1]; }
-
-    /// Sends `text`, lets `fleet` run, and returns what was received since the call before.
-    std::string exchange(const std::string& text, test::gateway_fleet& fleet) {
-        BOOST_REQUIRE(send(m_ends[0], text.data(), text.size(), MSG_NOSIGNAL) ==
-                      static_cast<ssize_t>(text.size()));
-        run_events();
-        fleet.run_for(100ms);
-        run_events();
-        std::array<char, 4096> chunk{};
-        std::string received;
-        ssize_t size = 0;
-        while ((size = recv(m_ends[0], chunk.data(), chunk.size(), 0)) > 0) {
-            received.append(chunk.data(), static_cast<std::size_t>(size));
-        }
-        m_is_closed = size == 0;
-        return received;
-    }
-
-    static void run_events() {
-        for (int round = 0; round < 20; ++round) {
-            QCoreApplication::processEvents(QEventLoop::AllEvents);
-        }
-    }
-
-    bool m_is_closed{false};
-
-private:
-    std::array<int, 2> m_ends{};
-};
+/// Checks that the session of `peer` ended with `last_answer`: nothing of it is served any more, and the
+/// connection is closed although the peer does not close it.
+void check_session_has_ended(test::event_loop& loop, raw_peer& peer, test::gateway_fleet& fleet,
+                             const std::string& last_answer) {
+    const std::string announcement = "ERROR BUSY the session has ended; connect again\r\n";
+    BOOST_TEST(last_answer.ends_with("READY I -\r\n" + announcement));
+    const std::size_t runs = fleet.m_upstreams.m_runs.size();
+    BOOST_TEST(peer.exchange("QUERY after WRITE c\r\n", fleet) == "READY I -\r\n" + announcement);
+    BOOST_TEST(fleet.m_upstreams.m_runs.size() == runs);
+    loop.run_until([&] {
+        (void)peer.received();
+        return peer.is_closed();
+    });
+}
 
 /// Writes the log to a file while it exists.
 class captured_log {
@@ -397,7 +374,7 @@
     line_protocol::serve_caller(loop.m_loop, unknown.served_end(), fleet.instance(1),
                                 test::unlimited_callers(loop));
     BOOST_TEST(unknown.exchange("START pay one\r\n", fleet).starts_with("ERROR UNAUTHED "));
-    BOOST_TEST(unknown.m_is_closed);
+    BOOST_TEST(unknown.is_closed());
 
     raw_peer open;
     line_protocol::serve_caller(loop.m_loop, open.served_end(), fleet.instance(1),
@@ -430,8 +407,7 @@
     fleet.run_for(1000ms);
     const std::string removed = caller.exchange("QUERY q8 READ one\r\n", fleet);
     BOOST_TEST(removed.starts_with("ERROR UNAUTHED "));
-    BOOST_TEST(removed.find("READY I") != std::string::npos);
-    BOOST_TEST(caller.m_is_closed);
+    check_session_has_ended(loop, caller, fleet, removed);
 }
 
 /// Guards against a key that reaches another instance, the log, the metrics or the state dump, and against
@@ -537,7 +513,7 @@
     const std::string gone = peer.exchange(
         line_protocol::encode_refused_statement("q6", statement_permit::unauthenticated), fleet);
     BOOST_TEST(gone.starts_with("ERROR UNAUTHED "));
-    BOOST_TEST(peer.m_is_closed);
+    check_session_has_ended(loop, peer, fleet, gone);
 }
 
 /// One operation is taken for a statement outside transactions and one for a transaction, and given back
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -175,7 +175,9 @@
     served.m_peer.write("QUERY commit COMMIT\r\n");
     served.run_for(100ms);
     BOOST_TEST(ready_lines(served.m_peer.received()) == 5);
-    BOOST_TEST(served.m_peer.received().find("ERROR ABORTED") != std::string::npos);
+    BOOST_TEST_CONTEXT(served.m_peer.received()) {
+        BOOST_TEST(served.m_peer.received().find("ERROR ABORTED") != std::string::npos);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(statements_that_wait_or_run_when_the_grace_period_ends_are_answered) {
@@ -204,6 +206,30 @@
     BOOST_TEST(in_doubt + not_run == 10);
 }
 
+BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_end_announced_by_the_serving_instance_is_answered_once) {
+    forwarding_instance site(
+        [](forwarding_instance&, tcp_stream& stream) { stream.write("READY I -\r\n"); });
+    site.m_streams.back()->write("ERROR BUSY leaving\r\n");
+    site.m_loop.run_until([&] { return site.m_caller.received().find("ERROR") != std::string::npos; });
+    site.m_caller.write("QUERY crossing WRITE 1 a\r\n");
+    site.run_until_ready(2);
+    BOOST_TEST(site.m_caller.received() ==
+               "READY I -\r\nERROR BUSY leaving\r\nREADY I -\r\nERROR BUSY leaving\r\n");
+    BOOST_TEST(site.m_forwarded.find("QUERY") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_was_forwarded_before_the_end_was_announced_is_answered_once) {
+    forwarding_instance site([](forwarding_instance& at, tcp_stream& stream) {
+        stream.write(at.m_forwarded.find("QUERY") == std::string::npos
+                         ? "READY I -\r\n"
+                         : "ERROR BUSY leaving\r\nREADY I -\r\nERROR BUSY leaving\r\n");
+    });
+    site.m_caller.write("QUERY crossing WRITE 1 a\r\n");
+    site.run_until_ready(2);
+    BOOST_TEST(site.m_caller.received() ==
+               "READY I -\r\nERROR BUSY leaving\r\nREADY I -\r\nERROR BUSY leaving\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(a_statement_without_answer_is_answered_when_its_serving_instance_ends_the_session) {
     struct {
         std::vector<std::string> m_before;
--- a/test/support/raw_peer.hpp
+++ b/test/support/raw_peer.hpp
@@ -2,6 +2,8 @@
 /// One end of a connection whose other end is served by the code under test.
 #pragma once
 
+#include "support/gateway_fleet.hpp"
+
 #include <QCoreApplication>
 #include <QEventLoop>
 
@@ -9,6 +11,7 @@
 
 #include <array>
 #include <string>
+#include <utility>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,12 +46,21 @@
         return m_received;
     }
 
+    /// Sends `text`, lets `fleet` run, and returns what was received since the call before.
+    std::string exchange(const std::string& text, gateway_fleet& fleet) {
+        write(text);
+        (void)received();
+        fleet.run_for(milliseconds{100});
+        return received().substr(std::exchange(m_exchanged, received().size()));
+    }
+
     /// Whether the other end had closed the connection when received() was last called.
     [[nodiscard]] bool is_closed() const { return m_closed; }
 
 private:
     std::array<int, 2> m_ends{};
     std::string m_received;
+    std::size_t m_exchanged{0}; ///< Bytes that exchange() has returned.
     bool m_closed{false};
 };
 
