Answer callers that wait for the configuration before a leaving instance ends

Callers saw their connection end without READY or a refusal: they had sent START to an instance that did not know its configuration or its members yet and left meanwhile. leave() waits for open and forwarded sessions, but a caller that waits to open one is neither, and it may wait 1.5 s while leave() reports the end at any time after 2.4 s, or at 0.85 of the grace period. With a short grace period the instance also went on accepting sessions after it had reported its end.

From the time at which no session may begin any more, waiting callers are answered at the next tick, and sessions may begin no longer than until the end is reported, which comes after the last of them.

--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -117,7 +117,7 @@
     [[nodiscard]] bool is_leaving() const { return m_leaving_since.has_value(); }
 
     /// Runs `work` once sessions can be opened, or after as long as a caller waits for its session
-    /// to open.
+    /// to open; before leave() reports the end in any case.
     void when_sessions_can_open(std::function<void()> work);
 
     /// Whether a new session may begin here: a leaving instance that the load balancer has already
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -351,7 +351,8 @@
     const steady_time now = m_ports.m_clock.m_now();
     std::vector<deferred_caller> deferred = std::exchange(m_deferred_callers, {});
     for (deferred_caller& each : deferred) {
-        if (can_open_sessions() || m_fleet_coordinator.has_poll_failed() || now >= each.m_deadline) {
+        if (can_open_sessions() || m_fleet_coordinator.has_poll_failed() || now >= each.m_deadline ||
+            !accepts_sessions()) {
             each.m_work();
         } else {
             m_deferred_callers.push_back(std::move(each));
@@ -360,7 +361,9 @@
 }
 
 bool gateway::accepts_sessions() const {
-    return !m_leaving_since || m_ports.m_clock.m_now() < *m_leaving_since + balancer_removal_time;
+    // After m_on_left was called, nothing answers the callers that would still have to wait.
+    return !m_leaving_since ||
+           (m_on_left && m_ports.m_clock.m_now() < *m_leaving_since + balancer_removal_time);
 }
 
 std::optional<std::string> gateway::find_account(const std::string& database,
@@ -647,6 +650,7 @@
     if ((done || statement_grace_over) && m_on_left) {
         m_fleet_coordinator.deregister();
         const auto on_left = std::exchange(m_on_left, nullptr);
+        admit_deferred_callers();
         on_left();
     }
 }
--- a/test/gateway/callers.cpp
+++ b/test/gateway/callers.cpp
@@ -494,6 +494,32 @@
     BOOST_TEST(known);
 }
 
+/// Guards against a START line that an instance has read and leaves without an answer when it ends.
+BOOST_AUTO_TEST_CASE(callers_that_wait_for_the_configuration_are_answered_before_a_leaving_instance_ends) {
+    for (const milliseconds grace : {6000ms, 1000ms}) {
+        test::gateway_fleet fleet(1);
+        gateway::gateway late({.m_name = "late"}, {.m_clock = fleet.m_clock.port(),
+                                                   .m_connect = fleet.m_upstreams.connector("late"),
+                                                   .m_store = fleet.m_store.port("late"),
+                                                   .m_promote = {},
+                                                   .m_read_status = test::fake_upstreams::read_status,
+                                                   .m_probe = {}});
+        int waiting = 0;
+        std::optional<int> left_waiting;
+        late.leave(grace, [&] { left_waiting = waiting; });
+        while (!left_waiting) {
+            if (late.accepts_sessions()) {
+                ++waiting;
+                late.when_sessions_can_open([&] { --waiting; });
+            }
+            fleet.run_for(10ms);
+            late.tick();
+        }
+        BOOST_TEST(*left_waiting == 0);
+        BOOST_TEST(!late.accepts_sessions());
+    }
+}
+
 /// Guards against callers that wait for a configuration which cannot arrive because the store
 /// refuses the instance.
 BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_when_the_store_fails_before_the_configuration_is_known) {
