Send no request on a kept connection that has ended or received something

Callers see nothing of it directly. The metadata store may close a connection that it believes to be idle. Between that and the event loop's next look, a request was still sent on it: it ended without an answer, its path counted as failing for a second, and the active coordinator, whose heartbeat may have been made, stepped down. Bytes that the store had sent before the request, as an answer 408 that announces the closing, were taken for the answer.

Evidence: with the end of the connection, or with an answer 408, in the client's kernel before the change is sent, the change was 'unknown' and 'refused'; both are 'done' now.

The client looks at the socket before it sends, and opens another connection if there is anything. What the store had done before it read the request can no longer be taken for its outcome.

--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -68,6 +68,9 @@
     void close_after_flush(std::function<void(std::size_t bytes)> on_discarded = {});
 
     [[nodiscard]] bool is_open() const { return m_fd >= 0; }
+    /// Whether bytes or the end of the connection have arrived that no handler has been told of yet.
+    /// Something written now may be answered by nobody, or by what was sent before.
+    [[nodiscard]] bool has_unreported_input() const;
     [[nodiscard]] std::size_t unsent_bytes() const { return m_output.size() - m_output_sent; }
     /// Memory that the unsent bytes occupy.
     [[nodiscard]] std::size_t buffer_size() const { return m_output.capacity(); }
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -140,6 +140,11 @@
     }
 }
 
+bool tcp_stream::has_unreported_input() const {
+    char byte = 0;
+    return is_open() && (recv(m_fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0 || !would_block());
+}
+
 void tcp_stream::write(std::string_view bytes) {
     if (!is_open() || bytes.empty() || m_close_after_flush) {
         return;
--- a/test/gateway/store_contract.cpp
+++ b/test/gateway/store_contract.cpp
@@ -13,6 +13,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 using gateway::store_answer;
@@ -50,6 +56,7 @@
     std::vector<rule> m_rules;
     std::vector<std::string> m_requests;
     std::vector<std::shared_ptr<tcp_stream>> m_streams;
+    std::vector<int> m_descriptors; ///< Of m_streams.
     std::unique_ptr<tcp_listener> m_listener;
     std::unique_ptr<store_client> m_client;
 
@@ -65,12 +72,32 @@
 
     void accept(int fd) {
         const std::size_t index = m_streams.size();
+        m_descriptors.push_back(fd);
         m_streams.push_back(tcp_stream::adopt(
             m_loop, fd,
             {.m_on_bytes = [this, index](std::string_view bytes) { answer(index, std::string(bytes)); },
              .m_on_closed = [](close_reason) {}}));
     }
 
+    /// Ends the sending direction of the first connection, and waits until the client's kernel knows.
+    void end_first_connection() {
+        BOOST_REQUIRE(shutdown(m_descriptors.front(), SHUT_WR) == 0);
+        tcp_info info{};
+        while (info.tcpi_state != TCP_FIN_WAIT2) {
+            socklen_t size = sizeof info;
+            BOOST_REQUIRE(getsockopt(m_descriptors.front(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0);
+        }
+    }
+
+    /// Sends `text` on the first connection, and waits until the client's kernel has it.
+    void send_on_first_connection(const std::string& text) {
+        m_streams.front()->write(text);
+        int unacknowledged = 1;
+        while (unacknowledged > 0) {
+            BOOST_REQUIRE(ioctl(m_descriptors.front(), SIOCOUTQ, &unacknowledged) == 0);
+        }
+    }
+
     void answer(std::size_t index, const std::string& request) {
         m_requests.push_back(request);
         const auto found = std::find_if(m_rules.begin(), m_rules.end(), [&](const rule& each) {
@@ -270,3 +297,22 @@
         }
     }
 }
+
+/// Guards against a change that is lost, or an answer to it that was sent for something else, since a
+/// kept connection has ended or received bytes that the event loop has not reported yet.
+BOOST_AUTO_TEST_CASE(a_kept_connection_on_which_something_has_arrived_gets_no_request) {
+    for (const bool ends : {true, false}) {
+        fake_store_server store(ends ? 42 : 43);
+        store.m_rules = {
+            {.m_contains = "rows-get",
+             .m_reply = http_response(200, R"({"rows":[],"ver":7,"nowMs":1,"hasMore":false})")},
+            {.m_contains = "rows-tx", .m_reply = http_response(200, R"({"ver":8})")}};
+        store.read("t");
+        if (ends) {
+            store.end_first_connection();
+        } else {
+            store.send_on_first_connection(http_response(408, "idle too long"));
+        }
+        BOOST_TEST((store.change(sample_change).m_status == store_status::done));
+    }
+}
