Send a store read again that meets the closing of a kept connection

Callers see nothing of it directly. A read or a watch that crossed the store's closing of an idle connection ended without an answer: the direct path counted as failing for a second, this instance refused store questions of others for that time, and the copy of the table was read as a whole after a delay.

Such a request has had no byte of an answer on a connection that has carried answers before. A read is sent again once, over a new connection; a store that closes that too is down.

--- a/test/gateway/store_contract.cpp
+++ b/test/gateway/store_contract.cpp
@@ -19,6 +19,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <utility>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 using gateway::store_answer;
@@ -55,6 +57,7 @@
     reactor m_loop;
     std::vector<rule> m_rules;
     std::vector<std::string> m_requests;
+    bool m_closes_next{false}; ///< The next request is read, and its connection closed.
     std::vector<std::shared_ptr<tcp_stream>> m_streams;
     std::vector<int> m_descriptors; ///< Of m_streams.
     std::unique_ptr<tcp_listener> m_listener;
@@ -100,6 +103,10 @@
 
     void answer(std::size_t index, const std::string& request) {
         m_requests.push_back(request);
+        if (std::exchange(m_closes_next, false)) {
+            m_streams[index]->close();
+            return;
+        }
         const auto found = std::find_if(m_rules.begin(), m_rules.end(), [&](const rule& each) {
             return request.find(each.m_contains) != std::string::npos;
         });
@@ -298,6 +305,40 @@
     }
 }
 
+/// Guards against a path to the store that counts as failing since the store has closed a connection which
+/// it believed to be idle.
+BOOST_AUTO_TEST_CASE(a_read_that_meets_the_closing_of_a_kept_connection_is_sent_again) {
+    fake_store_server store(40);
+    const std::string reply = http_response(200, R"({"rows":[],"ver":7,"nowMs":1,"hasMore":false})");
+    store.m_rules = {{.m_contains = "rows-get", .m_reply = reply},
+                     {.m_contains = "rows-feed", .m_reply = reply},
+                     {.m_contains = "rows-tx", .m_reply = reply}};
+    store.read("t");
+    store.m_closes_next = true;
+    BOOST_TEST((store.read("t").m_status == store_status::done));
+    store.watch("t", 1, 100ms);
+    store.m_closes_next = true;
+    BOOST_TEST((store.watch("t", 1, 100ms).m_status == store_status::done));
+    BOOST_TEST(store.m_client->calls().at("read t") == 3U);
+    BOOST_TEST(store.m_client->calls().at("watch t") == 3U);
+}
+
+/// A store that closes every connection is down, and a change may have been made.
+BOOST_AUTO_TEST_CASE(a_change_and_a_repeated_read_that_meet_a_closing_are_not_sent_again) {
+    fake_store_server store(41);
+    const std::string reply = http_response(200, R"({"rows":[],"ver":7,"nowMs":1,"hasMore":false})");
+    store.m_rules = {{.m_contains = "rows-get?table=t", .m_reply = reply},
+                     {.m_contains = "rows-get?table=u", .m_reply = "close"},
+                     {.m_contains = "rows-tx", .m_reply = reply}};
+    store.read("t");
+    store.m_closes_next = true;
+    BOOST_TEST((store.change(sample_change).m_status == store_status::unknown));
+    BOOST_TEST(store.m_client->calls().at("change") == 1U);
+    store.read("t");
+    BOOST_TEST((store.read("u").m_status == store_status::unknown));
+    BOOST_TEST(store.m_client->calls().at("read u") == 2U);
+}
+
 /// Guards against a change that is lost, or an answer to it that was sent for something else, since a
 /// kept connection has ended or received bytes that the event loop has not reported yet.
 BOOST_AUTO_TEST_CASE(a_kept_connection_on_which_something_has_arrived_gets_no_request) {
