Make the changes that wait at a leaving relay at once

Callers see nothing of it, unless further heartbeats of the same instance fail: an instance that asks the store through a relay has its heartbeat held there for up to 1.5 s, to be made with those of others. A relay that left took new ones until its process ended, and what waited then was never made. Its sender learnt so when the connection broke, up to 1.5 s later, and repeated it after 400 ms.

Evidence: a change with a batch delay of 1.5 s was not made within 50 ms after the relay left, neither one that waited already nor one that came then.

From leave() on each batch is due at once. What is in flight at the end of the process stays unknown to its sender, which repeats it as a new heartbeat with a higher count, so that none counts twice.

--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -38,6 +38,9 @@
     /// Answers one encoded request through `respond`.
     void serve(const std::string& request, responder respond);
 
+    /// From now on changes wait for no batch: the process may end before it is due.
+    void leave() { m_leaving = true; }
+
     /// Sends batches and answers watches that are due. Call every few milliseconds.
     void tick();
 
@@ -120,6 +123,7 @@
     published_renewals m_renewals;
     std::list<waiting_follower> m_followers;
     std::list<change_batch> m_batches;
+    bool m_leaving{false};
     bool m_change_in_flight{false}; ///< One at a time.
 };
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -609,6 +609,7 @@
     m_grace = grace;
     m_on_left = std::move(done);
     m_fleet_coordinator.resign();
+    m_relay.leave();
     const auto sessions = m_sessions;
     for (const auto& [number, session] : sessions) {
         session->drain(session_end::instance_leaving);
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -300,7 +300,7 @@
     }
     const steady_time now = m_clock.m_now();
     const auto due = std::find_if(m_batches.begin(), m_batches.end(),
-                                  [&](const change_batch& each) { return now >= each.m_due; });
+                                  [&](const change_batch& each) { return m_leaving || now >= each.m_due; });
     if (due == m_batches.end()) {
         return;
     }
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -733,3 +733,26 @@
     // One more is the watch with which the relay goes on.
     BOOST_TEST(relay.m_store.m_calls - calls <= 3);
 }
+
+/// Guards against heartbeats of other instances that end with the process of a relay, in a batch that waits
+/// for more.
+BOOST_AUTO_TEST_CASE(changes_that_wait_for_a_batch_are_made_when_their_relay_leaves) {
+    single_relay site;
+    const auto send_change = [&](const std::string& key) {
+        site.send_request(
+            gateway::store_change{.m_writes = {{.m_table = "m", .m_key = key, .m_value = "record"}},
+                                  .m_max_batch_delay = 1500ms});
+    };
+    send_change("member/i2");
+    site.run_for(50ms);
+    BOOST_REQUIRE(site.m_replies.empty());
+    site.m_relay.leave();
+    site.run_for(50ms);
+    BOOST_TEST(site.m_replies.size() == 1U);
+    send_change("member/i3");
+    site.run_for(50ms);
+    BOOST_REQUIRE(site.m_replies.size() == 2U);
+    for (const gateway::store_answer& reply : site.m_replies) {
+        BOOST_TEST((reply.m_status == gateway::store_status::done));
+    }
+}
