Tell why a connection to an upstream is closed, and what has lost an answer

Callers that got INDOUBT could not be told why: statement.answer_lost named the upstream only, and of the connections that this end closes just those replaced for another account were counted. Nothing told either that a question to the store had ended with the relay that it was sent through.

Each closing has a cause, which is counted, and goes on to the statement that it leaves without an answer; store_questions_unanswered counts the questions where they were asked. The number of counters is bounded by that of the causes. The tests read counters that did not exist before; no decision changes.

--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -54,6 +55,18 @@
 /// Shared by the pool and by the transaction that holds the connection.
 using connection_handle = std::shared_ptr<pooled_connection>;
 
+/// Why this end closes a connection.
+enum class connection_end {
+    idle,             ///< Unused for a while, and more than the minimum is open.
+    replaced,         ///< Idle, and another account's work needs its place.
+    unresponsive,     ///< The upstream answers nothing.
+    primary_released, ///< The upstream ceases to be the primary.
+    upstream_gone,    ///< The upstream has restarted or moved.
+    state_uncertain   ///< The state of its session is not known to be clean.
+};
+
+[[nodiscard]] std::string_view name_of(connection_end cause);
+
 /// What became of a statement.
 enum class work_outcome {
     answered,
@@ -69,6 +82,7 @@
     connection_handle m_connection{};
     steady_time m_sent_at{};
     result_code m_code{result_code::queue_full}; ///< For not_run: the reason.
+    std::string_view m_lost_by{}; ///< For lost: connection_lost, deadline, or a connection_end.
 };
 
 /// One statement to run at the upstream.
@@ -133,10 +147,10 @@
     void roll_back_and_release(const connection_handle& connection);
 
     /// Closes a connection; work that awaits an answer on it is reported as lost.
-    void close(const connection_handle& connection);
+    void close(const connection_handle& connection, connection_end cause = connection_end::state_uncertain);
 
     /// Closes the connections that are held by a transaction or await an answer.
-    void close_in_use();
+    void close_in_use(connection_end cause);
 
     /// Ends all use of the pool: the upstream has restarted or moved to another address.
     void retire();
@@ -228,8 +242,8 @@
     /// Removes a closed or lost connection from the pool.
     void discard(const connection_handle& connection, bool was_idle);
     /// Reports the loss of a connection to whoever awaits an answer on it or holds it.
-    void fail_pending(const connection_handle& connection);
-    void close_idle();
+    void fail_pending(const connection_handle& connection, std::string_view cause);
+    void close_idle(connection_end cause);
     /// Reports work whose deadline has passed as lost but keeps its connection open.
     void abandon_answer(const connection_handle& connection);
     void mark_unresponsive();
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -177,7 +177,7 @@
         if (m_clock.m_now() < m_old_primary_deadline) {
             return;
         }
-        pool->close_in_use();
+        pool->close_in_use(connection_end::primary_released);
     }
     const auto notify = std::exchange(m_on_old_primary_released, nullptr);
     notify();
@@ -547,9 +547,11 @@
         return;
     case work_outcome::lost:
         m_metrics.count("answers_lost");
+        m_metrics.count("answers_lost_by_" + std::string(result.m_lost_by));
         log_event(log_level::info, "statement.answer_lost",
                   {{"id", request.m_id},
                    {"upstream", upstream.m_text},
+                   {"cause", std::string(result.m_lost_by)},
                    {"tries", std::to_string(item->m_attempts)}});
         if (m_outcomes && request.m_placement == request_placement::replica_allowed) {
             if (repeat_elsewhere(item, upstream)) {
--- a/libs/gateway/src/store_access.cpp
+++ b/libs/gateway/src/store_access.cpp
@@ -138,6 +138,9 @@
     m_metrics.count("store_questions_relayed");
     m_send_peer_request(relay, encode_question(relayed), timeout_for(relayed),
                         [this, done](const std::optional<std::string>& bytes) {
+                            if (!bytes) {
+                                m_metrics.count("store_questions_unanswered");
+                            }
                             auto reply = bytes ? decode_reply(*bytes) : std::nullopt;
                             if (reply) {
                                 m_era.complete(*reply);
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -60,6 +60,24 @@
 
 }
 
+std::string_view name_of(connection_end cause) {
+    switch (cause) {
+    case connection_end::idle:
+        return "idle";
+    case connection_end::replaced:
+        return "replaced";
+    case connection_end::unresponsive:
+        return "unresponsive";
+    case connection_end::primary_released:
+        return "primary_released";
+    case connection_end::upstream_gone:
+        return "upstream_gone";
+    case connection_end::state_uncertain:
+        break;
+    }
+    return "state_uncertain";
+}
+
 upstream_pool::upstream_pool(upstream_entry entry, pool_limits limits, const clock_port& clock,
                              const upstream_connector& connector, metrics& counters)
     : m_entry(std::move(entry)), m_limits(limits), m_clock(clock), m_connector(connector),
@@ -354,10 +372,12 @@
     }
 }
 
-void upstream_pool::close(const connection_handle& connection) {
+void upstream_pool::close(const connection_handle& connection, connection_end cause) {
     if (connection->m_state == pooled_connection::state::closed) {
         return;
     }
+    const std::string_view name = name_of(cause);
+    m_metrics.count("upstream_connections_closed_" + std::string(name));
     const bool was_idle = connection->m_state == pooled_connection::state::idle;
     const bool was_connecting = connection->m_state == pooled_connection::state::connecting;
     connection->m_channel.m_close();
@@ -368,7 +388,7 @@
         return;
     }
     discard(connection, was_idle);
-    fail_pending(connection);
+    fail_pending(connection, name);
 }
 
 void upstream_pool::discard(const connection_handle& connection, bool was_idle) {
@@ -382,7 +402,7 @@
     m_open_connections.remove(connection);
 }
 
-void upstream_pool::fail_pending(const connection_handle& connection) {
+void upstream_pool::fail_pending(const connection_handle& connection, std::string_view cause) {
     const auto handler = m_reply_handlers.find(connection->m_number);
     if (handler != m_reply_handlers.end()) {
         const auto done = std::move(handler->second);
@@ -391,34 +411,36 @@
     }
     if (connection->m_work_id != 0) {
         const std::uint64_t work_id = std::exchange(connection->m_work_id, 0);
-        finish(work_id, {.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown});
+        finish(
+            work_id,
+            {.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown, .m_lost_by = cause});
     } else if (connection->m_on_lost) {
         const auto notify = std::exchange(connection->m_on_lost, nullptr);
         notify();
     }
 }
 
-void upstream_pool::close_in_use() {
+void upstream_pool::close_in_use(connection_end cause) {
     const std::vector<connection_handle> handles(m_open_connections.begin(), m_open_connections.end());
     for (const connection_handle& connection : handles) {
         if (connection->m_state == pooled_connection::state::in_use) {
-            close(connection);
+            close(connection, cause);
         }
     }
     open_connections();
 }
 
-void upstream_pool::close_idle() {
+void upstream_pool::close_idle(connection_end cause) {
     const std::deque<connection_handle> idle = m_idle;
     for (const connection_handle& connection : idle) {
-        close(connection);
+        close(connection, cause);
     }
 }
 
 void upstream_pool::retire() {
     m_retired = true;
     refuse_waiting(result_code::upstream_unavailable);
-    close_in_use();
+    close_in_use(connection_end::upstream_gone);
 }
 
 void upstream_pool::refuse_waiting(result_code code, bool spares_transactions) {
@@ -466,7 +488,7 @@
         const bool is_upstream_full = m_accounting.consecutive_failures() > 0 && !m_failing_since;
         if ((m_accounting.room(now) == 0 || is_upstream_full) && !m_idle.empty()) {
             m_metrics.count("upstream_connections_replaced");
-            close(connection_handle(m_idle.front()));
+            close(connection_handle(m_idle.front()), connection_end::replaced);
         }
         if (m_accounting.room(now) == 0) {
             break;
@@ -599,7 +621,7 @@
     m_metrics.count("upstream_connections_lost");
     record_outcome(connection->m_work_id, work_sign::reset);
     discard(connection, connection->m_state == pooled_connection::state::idle);
-    fail_pending(connection);
+    fail_pending(connection, "connection_lost");
     dispatch();
 }
 
@@ -699,13 +721,15 @@
         };
         connection->m_since = m_clock.m_now();
     }
-    finish(work_id, {.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown});
+    finish(
+        work_id,
+        {.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown, .m_lost_by = "deadline"});
 }
 
 void upstream_pool::mark_unresponsive() {
     if (!m_failing_since) {
         // Closing the idle connections forces a reconnect, which shows whether the upstream answers.
-        close_idle();
+        close_idle(connection_end::unresponsive);
         mark_failing("statement unanswered");
     }
 }
@@ -718,7 +742,7 @@
         if (handler != m_reply_handlers.end() &&
             now >= std::max(connection->m_since, m_last_response_at) + response_timeout) {
             mark_unresponsive();
-            close(connection);
+            close(connection, connection_end::unresponsive);
             continue;
         }
         const auto sent = m_running.find(connection->m_work_id);
@@ -732,7 +756,7 @@
         }
         if (unresponsive && (work.m_retryable || now >= work.m_answer_deadline)) {
             record_outcome(connection->m_work_id, work_sign::unanswered);
-            close(connection);
+            close(connection, connection_end::unresponsive);
         } else if (now >= work.m_answer_deadline) {
             abandon_answer(connection);
         }
@@ -764,7 +788,7 @@
             on_connect_failed(connection, connect_failure::timed_out);
         } else if (connection->m_state == pooled_connection::state::idle &&
                    m_accounting.should_close_idle(connection->m_since, now)) {
-            close(connection);
+            close(connection, connection_end::idle);
         }
     }
     dispatch();
--- a/test/gateway/callers.cpp
+++ b/test/gateway/callers.cpp
@@ -271,6 +271,25 @@
     BOOST_TEST((opened.is_null() || opened == 0));
 }
 
+/// Guards against answers whose loss nobody can explain afterwards.
+BOOST_AUTO_TEST_CASE(closings_of_upstream_connections_and_lost_answers_are_counted_by_cause) {
+    test::gateway_fleet fleet(1);
+    test::test_caller caller(fleet.instance(1), "pay");
+    fleet.m_upstreams.at("orders-1").m_loses_answers = true;
+    caller.send(kind::write, "WRITE 1 a", {}, {}, true);
+    fleet.run_for(300ms);
+    fleet.m_upstreams.at("orders-1").m_loses_answers = false;
+    fleet.m_upstreams.at("orders-1").m_silent = true;
+    caller.send(kind::write, "WRITE 2 a", {}, {}, true);
+    fleet.run_for(2000ms);
+    const auto counters = fleet.instance(1).counters().to_json()["counters"];
+    BOOST_TEST(counters["answers_lost"] == 2);
+    BOOST_TEST(counters["answers_lost_by_connection_lost"] == 1);
+    // The coordinator replaces a silent primary before the deadline.
+    BOOST_TEST(counters["answers_lost_by_primary_released"] == 1);
+    BOOST_TEST(counters["upstream_connections_closed_primary_released"] == 1);
+}
+
 /// Guards against session values that stay on a pooled connection and apply to the statements
 /// of another session.
 BOOST_AUTO_TEST_CASE(session_values_apply_to_their_session_only) {
--- a/test/gateway/store_relay.cpp
+++ b/test/gateway/store_relay.cpp
@@ -756,3 +756,35 @@
         BOOST_TEST((reply.m_status == gateway::store_status::done));
     }
 }
+
+/// Guards against questions that vanish with a relay and leave no trace, and are put to the same relay
+/// again.
+BOOST_AUTO_TEST_CASE(a_question_that_ends_with_its_relay_is_counted_and_the_next_takes_another_path) {
+    test::manual_clock clock;
+    test::fake_store store(clock);
+    store.put("t", "a", "1");
+    const gateway::clock_port clock_port = clock.port();
+    const gateway::store_port direct = store.port("asker");
+    metrics counters;
+    gateway::store_era era(clock_port, direct, counters);
+    int relayed = 0;
+    gateway::store_access access(
+        clock_port, era,
+        [&](const endpoint&, const std::string&, milliseconds, const auto& done) {
+            ++relayed;
+            done(std::nullopt);
+        },
+        counters);
+    access.set_order({{.m_relay = endpoint{.m_address = "10.1.0.9", .m_port = 1}}, {}});
+    std::vector<gateway::store_status> outcomes;
+    for (int round = 0; round < 2; ++round) {
+        access.port().m_read_table(
+            "t", [&](const gateway::store_answer& reply) { outcomes.push_back(reply.m_status); });
+        clock.run_for(50ms);
+    }
+    BOOST_REQUIRE(outcomes.size() == 2U);
+    BOOST_TEST((outcomes[0] == gateway::store_status::unknown));
+    BOOST_TEST((outcomes[1] == gateway::store_status::done));
+    BOOST_TEST(relayed == 1);
+    BOOST_TEST(counters.to_json()["counters"]["store_questions_unanswered"] == 1);
+}
