--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -89,8 +89,10 @@
     /// Name of the caller's client account; empty on a public route and without client accounts.
     [[nodiscard]] const std::string& account() const { return m_account; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
-    /// Statements without an answer, and since when the oldest is served.
-    [[nodiscard]] std::size_t unanswered() const { return m_waiting.size(); }
+    /// Statements without an answer, now or when the session ended, and since when the oldest is served.
+    [[nodiscard]] std::size_t unanswered() const {
+        return m_closed ? m_unanswered_at_end : m_waiting.size();
+    }
     [[nodiscard]] steady_time unanswered_since() const { return m_arrived; }
     /// Bytes of the session's values and prepared statements.
     [[nodiscard]] std::size_t kept_bytes() const { return m_kept_bytes; }
@@ -183,6 +185,7 @@
     /// session stays open until that operation has ended.
     bool m_expects_operation{true};
     bool m_closed{false};
+    std::size_t m_unanswered_at_end{0};
     steady_time m_last_answer_at{};      ///< Time of the last answer, or of opening the session.
     steady_time m_arrived{};             ///< Arrival time of the statement being served.
     log_position m_last_commit;          ///< Log position of the session's newest commit.
--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -65,8 +65,8 @@
 
 /// A caller whose session is forwarded to another instance.
 struct forwarded_caller {
-    std::function<void()> m_leave{};                    ///< Close once the operation in progress has ended.
-    std::function<void()> m_abandon{};                  ///< Close now.
+    std::function<void()> m_leave{};   ///< End the session after the operation in progress.
+    std::function<void()> m_abandon{}; ///< End the session now.
     std::function<void(std::uint64_t)> m_on_revision{}; ///< A newer configuration is in force here.
     /// Since when the caller has no statement in progress; nothing while it has one.
     std::function<std::optional<steady_time>()> m_inactive_since{};
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -640,6 +640,7 @@
         return;
     }
     m_closed = true;
+    m_unanswered_at_end = m_waiting.size();
     const bool is_served = m_busy;
     answer_unfinished();
     m_disconnected = true;
