Send callers what is unsent before their session ends

Callers of a leaving anvilmountd could lose the answer to a statement that had run, and the error with which their session ended: the connection was cut in the middle of the answer, or reset.

caller_session::close() closed the socket although close_after_flush() was to keep it open, and the front dropped the session with the bytes that the kernel had not taken. A statement that crossed the end stayed unread, so that closing reset the connection and destroyed what was in transit. The process did not wait for connections that were still being flushed.

A session that ends is now kept by its front until the caller has closed the connection: it sends what is unsent, shuts down its sending direction and discards input. It closes by itself 3 s after everything was acknowledged, or after 30 s. The instance waits for such sessions as for any other, within its time for leaving.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
 /// Above this much input received during a request, reading from the caller pauses.
 constexpr std::size_t max_pending_input_bytes = std::size_t{64} * 1024;
+
+/// How long a caller that has received everything may leave its connection open after the end of its
+/// session.
+constexpr milliseconds caller_close_timeout{3000};
+/// How long it may take to receive everything.
+constexpr milliseconds max_ending_time{30000};
+
 constexpr std::string_view token_parameter = "anvilmount.session_token";
 
 /// How long an upstream is avoided after it was unavailable or leaving.
@@ -50,6 +57,9 @@
 
 void caller_session::on_bytes(std::string_view bytes) {
     const auto keep_alive = shared_from_this();
+    if (is_over()) {
+        return;
+    }
     m_input.append(bytes);
     process_input();
 }
@@ -104,7 +114,7 @@
         } else {
             m_context.m_forward_cancel(key);
         }
-        close();
+        end();
         return false;
     }
     constexpr int major_shift = 16;
@@ -176,7 +186,7 @@
 void caller_session::handle_message(const pg_message& message) {
     switch (message.m_type) {
     case 'X':
-        close();
+        end();
         return;
     case 'd':
     case 'c':
@@ -426,7 +436,7 @@
 }
 
 void caller_session::on_frame(peer::home_frame&& frame) {
-    if (m_phase == phase::closed) {
+    if (is_over()) {
         return;
     }
     if (!m_request) {
@@ -584,7 +594,7 @@
 
 void caller_session::on_lost(bool may_have_run) {
     m_channel.reset();
-    if (m_phase == phase::closed) {
+    if (is_over()) {
         return;
     }
     const failure why =
@@ -650,7 +660,7 @@
     m_has_written = false;
     m_status = 'I';
     if (!m_boundary.is_between_messages()) {
-        close(); // Part of a message was sent, so an error message cannot follow.
+        end(); // Part of a message was sent, so an error message cannot follow.
         return;
     }
     m_phase = phase::ready;
@@ -694,7 +704,7 @@
 }
 
 void caller_session::close_with_error(const failure& why) {
-    if (m_phase == phase::closed) {
+    if (is_over()) {
         return;
     }
     std::string out;
@@ -703,10 +713,35 @@
         m_stream->write(out);
     }
     m_context.m_shard.shard_metrics().count("front.closed." + std::string(traits_of(why.m_code).m_name));
+    end();
+}
+
+void caller_session::end() {
+    if (is_over()) {
+        return;
+    }
     abandon_channel();
-    m_phase = phase::closed;
-    m_stream->close_after_flush();
-    close();
+    m_phase = phase::ending;
+    m_context.m_shard.loop().cancel(m_timer);
+    m_context.m_cancel_registry.remove(m_key);
+    m_stream->finish();
+    m_stream->resume_reading();
+    await_close(max_ending_time);
+}
+
+void caller_session::await_close(milliseconds time_left) {
+    m_timer = m_context.m_shard.loop().after(caller_close_timeout, [weak = weak_from_this(), time_left] {
+        const auto self = weak.lock();
+        if (!self || self->m_phase != phase::ending) {
+            return;
+        }
+        const bool received = self->m_stream->unacknowledged_bytes() == 0;
+        if (!received && time_left > caller_close_timeout) {
+            self->await_close(time_left - caller_close_timeout);
+            return;
+        }
+        self->close();
+    });
 }
 
 void caller_session::abandon_channel() {
@@ -720,9 +755,7 @@
     abandon_channel();
     m_phase = phase::closed;
     m_context.m_shard.loop().cancel(m_timer);
-    if (m_stream->is_open() && m_stream->unsent_bytes() == 0) {
-        m_stream->close();
-    }
+    m_stream->close();
     m_context.m_cancel_registry.remove(m_key);
     if (m_on_closed) {
         const auto call = std::move(m_on_closed);
--- a/libs/node/src/caller_session.hpp
+++ b/libs/node/src/caller_session.hpp
@@ -42,6 +42,11 @@
 };
 
 /// Runs one request at a time; input that arrives meanwhile waits.
+///
+/// A session that ends closes its connection last: it sends what is unsent, then the end of the stream, and
+/// the caller closes. Until then the caller may be sending a statement, which was not read and has not run;
+/// the FATAL error that the caller finds is its answer. Closing a socket with such bytes unread resets the
+/// connection, and the caller loses the error, and what it has not read of the answers before.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     using closed_handler = std::function<void(caller_session*)>;
@@ -63,7 +68,7 @@
     [[nodiscard]] bool is_idle() const { return m_phase == phase::ready && !m_channel; }
 
 private:
-    enum class phase { startup, ready, running, closed };
+    enum class phase { startup, ready, running, ending, closed };
 
     /// The request in progress, with the state of its attempts.
     struct request {
@@ -123,8 +128,14 @@
     void on_cancel();
     /// Sends `why` as a FATAL error and ends the session.
     void close_with_error(const failure& why);
+    /// Ends the session without an error; the caller gets what was written so far.
+    void end();
+    /// Closes the connection if the caller does not.
+    void await_close(milliseconds time_left);
     void close();
 
+    [[nodiscard]] bool is_over() const { return m_phase == phase::ending || m_phase == phase::closed; }
+
     front_context& m_context;
     closed_handler m_on_closed;
     std::shared_ptr<tcp_stream> m_stream;
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -67,6 +67,14 @@
     /// `on_discarded` is called if the peer has sent bytes in the meantime that nobody reads.
     void close_after_flush(std::function<void(std::size_t bytes)> on_discarded = {});
 
+    /// Sends the unsent bytes and shuts down the sending direction; receiving goes on. The peer learns from
+    /// it that nothing follows, and m_on_closed is called once it has closed its end.
+    void finish();
+
+    /// Bytes that the peer's system has not acknowledged, including the unsent ones. 0 after finish(): all
+    /// of them have arrived there.
+    [[nodiscard]] std::size_t unacknowledged_bytes() const;
+
     [[nodiscard]] bool is_open() const { return m_fd >= 0; }
     /// Whether bytes or the end of the connection have arrived that no handler has been told of yet.
     /// Something written now may be answered by nobody, or by what was sent before.
@@ -100,6 +108,7 @@
     bool m_reading_paused{false};
     bool m_connect_refused{false};
     bool m_close_after_flush{false};
+    bool m_finishing{false};
     bool m_lingering{false};
     std::function<void(std::size_t bytes)> m_on_discarded; ///< See close_after_flush().
 };
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -3,6 +3,7 @@
 #include "anvilmount/wire/tcp_stream.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -146,7 +147,7 @@
 }
 
 void tcp_stream::write(std::string_view bytes) {
-    if (!is_open() || bytes.empty() || m_close_after_flush) {
+    if (!is_open() || bytes.empty() || m_close_after_flush || m_finishing) {
         return;
     }
     if (unsent_bytes() == 0 && !m_connecting) {
@@ -195,6 +196,9 @@
         linger();
         return false;
     }
+    if (m_finishing) {
+        shutdown(m_fd, SHUT_WR);
+    }
     update_events();
     if (had_output && m_handlers.m_on_drained) {
         m_handlers.m_on_drained();
@@ -253,6 +257,22 @@
     });
 }
 
+void tcp_stream::finish() {
+    if (!is_open() || m_finishing) {
+        return;
+    }
+    m_finishing = true;
+    if (unsent_bytes() == 0 && !m_connecting) {
+        shutdown(m_fd, SHUT_WR);
+    }
+}
+
+std::size_t tcp_stream::unacknowledged_bytes() const {
+    int queued = 0;
+    const bool known = is_open() && ioctl(m_fd, SIOCOUTQ, &queued) == 0 && queued > 0;
+    return unsent_bytes() + (known ? static_cast<std::size_t>(queued) : 0);
+}
+
 void tcp_stream::linger() {
     if (!is_open() || m_lingering) {
         return;
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -4,23 +4,70 @@
 /// leave when the configuration marks them or when they report it themselves.
 #include "load/pg_session.hpp"
 #include "support/fleet.hpp"
+#include "support/raw_caller.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
 #include <csignal>
 #include <thread>
+#include <utility>
 
 using namespace std::chrono_literals;
 using standin::pg_answer;
 using standin::pg_session;
 using test::eventually;
 using test::fleet;
+using test::raw_caller;
 
 namespace {
 
 constexpr int instance_leaving = 1307;
 
+long busy_callers(const fleet& all, int number = 0) {
+    long sum = 0;
+    const nlohmann::json dump = all.dump(number);
+    for (const auto& shard : dump["shards"]) {
+        sum += shard["busy_callers"].get<long>();
+    }
+    return sum;
+}
+
+/// Returns a counter of an instance, over all its shards.
+long counter(const fleet& all, const std::string& name, int number = 0) {
+    long sum = 0;
+    const nlohmann::json dump = all.dump(number);
+    for (const auto& shard : dump["shards"]) {
+        sum += shard["metrics"]["counters"].value(name, 0L);
+    }
+    return sum;
+}
+
+/// Returns how much of an answer leaves an instance before its caller reads any of it.
+std::size_t bytes_held_by_the_kernel(const fleet& all) {
+    constexpr std::size_t held_at_least = 100000;
+    constexpr std::size_t probes = 5000; // Sent to the upstream meanwhile, at most.
+    const auto bytes_sent = [&] {
+        std::size_t sum = 0;
+        const nlohmann::json dump = all.dump();
+        for (const auto& shard : dump["shards"]) {
+            sum += shard["bytes_sent"].get<std::size_t>();
+        }
+        return sum;
+    };
+    raw_caller caller(all.caller(), "orders");
+    BOOST_REQUIRE(caller.read_to('Z'));
+    const std::size_t before = bytes_sent();
+    caller.query("SELECT repeat('x', 8000000)");
+    std::size_t last = before;
+    BOOST_REQUIRE(eventually([&] {
+        std::this_thread::sleep_for(200ms);
+        const std::size_t earlier = std::exchange(last, bytes_sent());
+        return last > before + held_at_least && last <= earlier + probes;
+    }));
+    return last - before;
+}
+
 }
 
 BOOST_AUTO_TEST_CASE(a_leaving_instance_finishes_work_in_progress) {
@@ -59,6 +106,46 @@
     BOOST_TEST(setup.run("SELECT count(*) FROM t WHERE v > 0").value() == "2");
 }
 
+/// Guards against the end of a session that discards an answer which its caller has not read yet.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_read_yet_survives_the_end_of_its_session) {
+    struct variant {
+        const char* m_what;
+        bool m_sends_another;  ///< Another statement crosses the end of the session.
+        bool m_exceeds_kernel; ///< The instance itself holds the end of the answer.
+    };
+    constexpr variant variants[] = {{"in the kernel's buffer", false, false},
+                                    {"in the kernel's buffer, another statement crosses", true, false},
+                                    {"in the instance's buffer", false, true},
+                                    {"in the instance's buffer, another statement crosses", true, true}};
+    for (const variant& each : variants) {
+        BOOST_TEST_CONTEXT(each.m_what) {
+            fleet all({.m_instances = 1, .m_upstreams = 1});
+            constexpr std::size_t small_answer = 200000;
+            const std::size_t answer_size =
+                small_answer + (each.m_exceeds_kernel ? bytes_held_by_the_kernel(all) : 0);
+            const long batches_before = counter(all, "home.batches");
+            raw_caller caller(all.caller(), "orders");
+            BOOST_REQUIRE(caller.read_to('Z'));
+            caller.query("SELECT repeat('x', " + std::to_string(answer_size) + ")");
+            // The upstream has answered whole, and the caller has read nothing.
+            BOOST_REQUIRE(eventually(
+                [&] { return counter(all, "home.batches") > batches_before && busy_callers(all) == 0; }));
+            all.instance(0).signal(SIGTERM);
+            std::this_thread::sleep_for(300ms);
+            if (each.m_sends_another) {
+                caller.query("SELECT 2");
+            }
+            std::this_thread::sleep_for(500ms);
+            BOOST_TEST(caller.read_to('Z'));
+            BOOST_TEST(caller.received().size() > answer_size);
+            BOOST_TEST(caller.read_to('E'));
+            BOOST_TEST(caller.last_body().find("1307 instance_leaving") != std::string::npos);
+            BOOST_TEST(caller.is_closed_in_order());
+            BOOST_TEST(all.instance(0).wait() == 0);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(replacing_every_instance_under_load_fails_no_request) {
     fleet all({.m_instances = 3});
     BOOST_REQUIRE(pg_session(all.caller(0), "orders").run("CREATE TABLE t (id int primary key)").m_good);
