Answer what is unfinished when the time for leaving is over

Fronts in other instances only saw the connection break, so that a write that had merely waited there was reported as 1302, outcome unknown.

Fronts of other instances repeat what has not run. Sessions whose home is elsewhere, or that are between two attempts, are answered by their front. instance.time_to_leave_over and instance.left_unfinished tell both moments.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -623,7 +623,8 @@
         .m_in_transaction = m_request->m_began_in_transaction && !m_request->m_unconfirmed_position,
         .m_reply_started = m_request->m_reply_started,
         .m_deadline = m_request->m_deadline};
-    const auto delay = retry_delay(failed, reactor::now(), m_context.m_shard.random());
+    const auto delay =
+        m_tries_again ? retry_delay(failed, reactor::now(), m_context.m_shard.random()) : std::nullopt;
     if (!delay) {
         if (m_request->m_unconfirmed_position) {
             why = {.m_code = result_code::outcome_unknown,
@@ -703,6 +704,31 @@
     }
 }
 
+void caller_session::end_unfinished() {
+    m_tries_again = false;
+    const bool is_answered_by_home = m_request && m_channel && m_channel->is_local();
+    if (is_over() || is_answered_by_home) {
+        return;
+    }
+    if (!m_request) {
+        close_with_error(m_channel
+                             ? failure{.m_code = result_code::transaction_lost,
+                                       .m_message = "this instance is going out of service, and the "
+                                                    "upstream rolled the transaction back"}
+                             : failure{.m_code = result_code::instance_leaving,
+                                       .m_message = "this instance is going out of service; reconnect"});
+        return;
+    }
+    failure why{.m_code = result_code::instance_leaving,
+                .m_message = "this instance is going out of service; reconnect"};
+    if (m_channel || m_request->m_unconfirmed_position) {
+        why = {.m_code = result_code::outcome_unknown,
+               .m_message = "this instance is going out of service before the answer"};
+    }
+    abandon_channel();
+    retry_or_report(why);
+}
+
 void caller_session::close_with_error(const failure& why) {
     if (is_over()) {
         return;
--- a/libs/node/src/caller_session.hpp
+++ b/libs/node/src/caller_session.hpp
@@ -65,6 +65,10 @@
     /// Starts draining: the session ends once it has no request and no transaction in progress.
     void leave();
 
+    /// Answers what is in progress with an error and ends the session: the time for leaving is over. A
+    /// statement at a home in this instance is answered by that home, which knows whether it has run.
+    void end_unfinished();
+
     [[nodiscard]] bool is_idle() const { return m_phase == phase::ready && !m_channel; }
 
 private:
@@ -145,6 +149,7 @@
     bool m_skip_to_sync{false}; ///< After an error: ignore messages up to the next Sync.
     bool m_has_written{false};  ///< A statement other than a read ran since the last commit.
     bool m_leaving{false};
+    bool m_tries_again{true};     ///< Failed attempts may be repeated.
     bool m_cancel_pending{false}; ///< A cancel request arrived between two attempts.
     backend_key m_key;
     std::uint64_t m_caller_id{0};
--- a/libs/node/src/front.cpp
+++ b/libs/node/src/front.cpp
@@ -3,7 +3,6 @@
 #include "front.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace anvilmount {
 
@@ -28,15 +27,25 @@
 void front::leave() {
     m_leaving = true;
     m_listener.reset();
-    std::vector<std::shared_ptr<caller_session>> sessions;
-    for (const auto& [key, session] : m_sessions) {
-        sessions.push_back(session);
-    }
-    for (const auto& session : sessions) {
+    for (const auto& session : sessions()) {
         session->leave();
     }
 }
 
+void front::end_unfinished() {
+    for (const auto& session : sessions()) {
+        session->end_unfinished();
+    }
+}
+
+std::vector<std::shared_ptr<caller_session>> front::sessions() const {
+    std::vector<std::shared_ptr<caller_session>> all;
+    for (const auto& [key, session] : m_sessions) {
+        all.push_back(session);
+    }
+    return all;
+}
+
 std::size_t front::busy_caller_count() const {
     return static_cast<std::size_t>(std::count_if(
         m_sessions.begin(), m_sessions.end(), [](const auto& each) { return !each.second->is_idle(); }));
--- a/libs/node/src/front.hpp
+++ b/libs/node/src/front.hpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace anvilmount {
 
@@ -23,12 +24,16 @@
     /// Stops accepting callers and ends each session once it has nothing in progress.
     void leave();
 
+    /// Ends the sessions that are left, with an error for what is in progress.
+    void end_unfinished();
+
     [[nodiscard]] std::size_t caller_count() const { return m_sessions.size(); }
     [[nodiscard]] std::size_t busy_caller_count() const;
     [[nodiscard]] const endpoint& address() const { return m_listener->address(); }
 
 private:
     void accept(int fd);
+    [[nodiscard]] std::vector<std::shared_ptr<caller_session>> sessions() const;
 
     front_context m_context;
     std::unique_ptr<tcp_listener> m_listener;
--- a/libs/node/src/home_directory.cpp
+++ b/libs/node/src/home_directory.cpp
@@ -42,6 +42,9 @@
         for (const upstream_spec& each : group.m_upstreams) {
             if (each.m_id == upstream) {
                 auto home = std::make_unique<upstream_home>(m_shard, options_for(*current, group, each));
+                if (m_has_ended) {
+                    home->end_channels();
+                }
                 return m_homes.emplace(upstream, std::move(home)).first->second.get();
             }
         }
@@ -109,6 +112,13 @@
     }
 }
 
+void home_directory::end_channels() {
+    m_has_ended = true;
+    for (const auto& [id, home] : m_homes) {
+        home->end_channels();
+    }
+}
+
 group_steward* home_directory::find_steward(const group_name& group) {
     const auto known = m_stewards.find(group);
     return known == m_stewards.end() ? nullptr : known->second.get();
--- a/libs/node/src/home_directory.hpp
+++ b/libs/node/src/home_directory.hpp
@@ -37,6 +37,9 @@
     /// Returns the number of channels that fronts still use.
     [[nodiscard]] std::size_t open_channel_count() const;
 
+    /// Ends all channels, and those that are opened from now on: the time for leaving is over.
+    void end_channels();
+
     /// Returns the group's coordinator, or null when it is not on this shard.
     group_steward* find_steward(const group_name& group);
 
@@ -56,6 +59,7 @@
     membership& m_members;
     peer_watch m_peer_watch;
     std::uint64_t m_adopted_revision{0};
+    bool m_has_ended{false};
     std::map<upstream_id, std::unique_ptr<upstream_home>> m_homes;
     std::map<group_name, std::unique_ptr<group_steward>> m_stewards;
 };
--- a/libs/node/src/instance.cpp
+++ b/libs/node/src/instance.cpp
@@ -15,6 +15,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <optional>
 
@@ -24,6 +25,9 @@
 constexpr milliseconds idle_check_interval{50};
 constexpr milliseconds peer_close_timeout{2000};
 constexpr milliseconds cancel_timeout{2000};
+/// Part of the time for leaving, at its end, in which what is unfinished gets errors; at most a tenth.
+constexpr milliseconds max_time_for_errors{1000};
+constexpr int time_for_errors_divisor = 10;
 constexpr milliseconds switch_timeout{5000};
 constexpr milliseconds revision_timeout{1000};
 
@@ -62,6 +66,12 @@
 
 }
 
+/// When a leaving instance gives up.
+struct leaving_deadlines {
+    steady_time m_unfinished{}; ///< Ends what is in progress, with errors.
+    steady_time m_exit{};       ///< Exits even if callers have not received everything.
+};
+
 struct instance::impl {
     reactor& m_loop;
     instance_options m_options;
@@ -79,6 +89,7 @@
     std::map<endpoint, std::unique_ptr<http2_client>> m_peer_clients; ///< For requests to other instances.
     steady_time m_started_at{std::chrono::steady_clock::now()};
     bool m_leaving{false};
+    bool m_ended_unfinished{false};
     std::optional<steady_time>
         m_idle_since; ///< While leaving: when work in progress ended; unset while there is any.
 
@@ -100,7 +111,8 @@
     void gather_revisions(const std::function<void(nlohmann::json)>& done);
     [[nodiscard]] nlohmann::json status() const;
     [[nodiscard]] nlohmann::json dump_shard(std::size_t index);
-    void wait_until_idle(steady_time deadline, std::function<void()> done);
+    void end_unfinished();
+    void wait_until_idle(const leaving_deadlines& until, std::function<void()> done);
 };
 
 void instance::impl::make_shards() {
@@ -292,12 +304,23 @@
     }
 }
 
+/// Answers what is in progress with errors and ends all sessions and channels.
+void instance::impl::end_unfinished() {
+    m_ended_unfinished = true;
+    for (std::size_t index = 0; index < m_shards.size(); ++index) {
+        m_shards[index]->post([this, index] {
+            m_fronts[index]->end_unfinished();
+            m_home_directories[index]->end_channels();
+        });
+    }
+}
+
 /// Calls `done` once nothing is in progress and peers have closed their connections,
-/// or at `deadline`. Exiting while data of a peer is unread would make the kernel
-/// discard the last answers sent to it.
-void instance::impl::wait_until_idle(steady_time deadline, std::function<void()> done) {
+/// or at the end of the time for leaving; shortly before, ends what is unfinished. Exiting while data of a
+/// peer is unread would make the kernel discard the last answers sent to it.
+void instance::impl::wait_until_idle(const leaving_deadlines& until, std::function<void()> done) {
     const auto collector = std::make_shared<shard_collector>(
-        m_loop, m_shards.size(), [this, deadline, done = std::move(done)](const nlohmann::json& shards) {
+        m_loop, m_shards.size(), [this, until, done = std::move(done)](const nlohmann::json& shards) {
             std::size_t busy = 0;
             std::size_t open_connections = 0;
             for (const nlohmann::json& each : shards) {
@@ -308,11 +331,20 @@
             m_idle_since = busy > 0 ? std::nullopt : std::optional(m_idle_since.value_or(now));
             const bool peers_are_done =
                 open_connections == 0 || now >= m_idle_since.value_or(now) + peer_close_timeout;
-            if ((m_idle_since && peers_are_done) || now >= deadline) {
+            if ((m_idle_since && peers_are_done) || (now >= until.m_exit && m_ended_unfinished)) {
+                if (!m_idle_since) {
+                    log_event(log_level::warning, "instance.left_unfinished",
+                              {{"callers_and_channels", std::to_string(busy)}});
+                }
                 done();
                 return;
             }
-            m_loop.after(idle_check_interval, [this, deadline, done] { wait_until_idle(deadline, done); });
+            if (now >= until.m_unfinished && !m_ended_unfinished) {
+                log_event(log_level::warning, "instance.time_to_leave_over",
+                          {{"callers_and_channels", std::to_string(busy)}});
+                end_unfinished();
+            }
+            m_loop.after(idle_check_interval, [this, until, done] { wait_until_idle(until, done); });
         });
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
         m_shards[index]->post([this, index, collector] {
@@ -382,7 +414,9 @@
             state.m_peer_servers[index]->stop_accepting();
         });
     }
-    state.wait_until_idle(reactor::now() + timeout, std::move(done));
+    const steady_time exit = reactor::now() + timeout;
+    const milliseconds time_for_errors = std::min(max_time_for_errors, timeout / time_for_errors_divisor);
+    state.wait_until_idle({.m_unfinished = exit - time_for_errors, .m_exit = exit}, std::move(done));
 }
 
 }
--- a/libs/node/src/upstream_home.cpp
+++ b/libs/node/src/upstream_home.cpp
@@ -90,6 +90,32 @@
     start_admitted();
 }
 
+void upstream_home::end_channels() {
+    m_has_ended = true;
+    std::vector<channel_ptr> all;
+    for (const auto& [id, channel] : m_channels) {
+        all.push_back(channel);
+    }
+    for (const channel_ptr& channel : all) {
+        if (channel->m_stage == home_channel::stage::running) {
+            end_channel(channel, {.m_code = result_code::outcome_unknown,
+                                  .m_message = "the instance left before the upstream had answered"});
+        } else if (channel->m_stage == home_channel::stage::waiting_for_ack) {
+            end_unconfirmed_write(channel,
+                                  {.m_code = result_code::outcome_unknown,
+                                   .m_message = "the instance left before a majority held the write"});
+        } else if (channel->m_connection) {
+            end_channel(channel,
+                        {.m_code = result_code::transaction_lost,
+                         .m_message = "the instance left, and the upstream rolled the transaction back"});
+        } else {
+            end_channel(channel,
+                        {.m_code = result_code::instance_leaving,
+                         .m_message = "the instance that holds the upstream's connections leaves"});
+        }
+    }
+}
+
 void upstream_home::set_is_home(bool is_home) {
     m_is_home = is_home;
     m_pool.set_options(pool_options_for(m_options.m_upstream, is_home));
@@ -141,6 +167,11 @@
         return;
     }
     m_shard.loop().cancel(channel->m_idle_timer);
+    if (m_has_ended) {
+        end_channel(channel, {.m_code = result_code::instance_leaving,
+                              .m_message = "the instance that holds the upstream's connections leaves"});
+        return;
+    }
     if (const auto broken =
             failure_of([&] { return for_each_message(batch.messages(), [](const pg_message&) {}); })) {
         end_channel(channel, *broken);
--- a/libs/node/src/upstream_home.hpp
+++ b/libs/node/src/upstream_home.hpp
@@ -52,6 +52,10 @@
     /// The front has abandoned the channel or cannot be reached any more.
     void on_front_gone(const std::shared_ptr<home_channel>& channel);
 
+    /// Ends all channels, and those that are opened from now on: the time for leaving is over. Fronts learn
+    /// of each batch whether it has run.
+    void end_channels();
+
     /// Sets whether this instance is the upstream's home by placement. A minimum of idle
     /// connections is kept open only while it is; otherwise idle connections are closed.
     void set_is_home(bool is_home);
@@ -117,6 +121,7 @@
     shard& m_shard;
     upstream_home_options m_options;
     bool m_is_home{false};
+    bool m_has_ended{false};
     pool_accounting m_pool;
     admission_queue m_admission;
     std::unique_ptr<upstream_probe> m_probe;
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <thread>
 #include <utility>
 
@@ -43,6 +44,44 @@
     return sum;
 }
 
+/// Sum of a value over the homes of an instance.
+long homes_sum(const fleet& all, int number, const std::function<long(const nlohmann::json&)>& value) {
+    long sum = 0;
+    const nlohmann::json dump = all.dump(number);
+    for (const auto& shard : dump["shards"]) {
+        for (const auto& home : shard["homes"]) {
+            sum += value(home);
+        }
+    }
+    return sum;
+}
+
+long open_channels(const fleet& all, int number) {
+    return homes_sum(all, number, [](const nlohmann::json& home) { return home["channels"].get<long>(); });
+}
+
+long running_statements(const fleet& all, int number) {
+    return homes_sum(all, number, [](const nlohmann::json& home) {
+        long sum = 0;
+        for (const auto& rank : home["ranks"]) {
+            sum += rank["running"].get<long>();
+        }
+        return sum;
+    });
+}
+
+/// Reads the answer to a statement that was sent, and returns the error in it, if any.
+std::string first_error(pg_session& session) {
+    std::string error;
+    while (PGresult* result = PQgetResult(session.native())) {
+        if (error.empty()) {
+            error = PQresultErrorMessage(result);
+        }
+        PQclear(result);
+    }
+    return error;
+}
+
 /// Returns how much of an answer leaves an instance before its caller reads any of it.
 std::size_t bytes_held_by_the_kernel(const fleet& all) {
     constexpr std::size_t held_at_least = 100000;
@@ -146,6 +185,35 @@
     }
 }
 
+/// Guards against statements without an answer or an error because the time for leaving is over.
+BOOST_AUTO_TEST_CASE(what_is_unfinished_when_the_time_to_leave_is_over_gets_an_error) {
+    fleet all(
+        {.m_instances = 2, .m_upstreams = 1, .m_slots = 1, .m_instance_settings = {"--leave_ms", "2000"}});
+    const int home = all.home_of("orders-1");
+    pg_session setup(all.caller(home), "orders");
+    BOOST_REQUIRE(setup.run("CREATE TABLE t (id int primary key)").m_good);
+    pg_session open(all.caller(home), "orders");
+    BOOST_REQUIRE(open.run("BEGIN").m_good);
+    BOOST_REQUIRE(open.run("INSERT INTO t VALUES (1)").m_good);
+    pg_session running(all.caller(home), "orders");
+    BOOST_REQUIRE(PQsendQuery(running.native(), "SELECT pg_sleep(20)") == 1);
+    BOOST_REQUIRE(eventually([&] { return running_statements(all, home) == 1; }));
+    pg_session waiting(all.caller(home), "orders");
+    BOOST_REQUIRE(PQsendQuery(waiting.native(), "INSERT INTO t VALUES (2)") == 1);
+    pg_session waiting_elsewhere(all.caller(1 - home), "orders");
+    BOOST_REQUIRE(PQsendQuery(waiting_elsewhere.native(), "INSERT INTO t VALUES (3)") == 1);
+    BOOST_REQUIRE(eventually([&] { return open_channels(all, home) == 4; }));
+
+    all.instance(home).signal(SIGTERM);
+    BOOST_TEST(first_error(running).find("1302 outcome_unknown") != std::string::npos);
+    BOOST_TEST(first_error(waiting).find("1307 instance_leaving (not run)") != std::string::npos);
+    BOOST_TEST(first_error(waiting_elsewhere).empty());
+    const std::string commit_error = open.run("COMMIT").m_error + open.notices() + open.connect_error();
+    BOOST_TEST(commit_error.find("1306 transaction_lost") != std::string::npos);
+    BOOST_TEST(all.instance(home).wait() == 0);
+    BOOST_TEST(pg_session(all.caller(1 - home), "orders").run("SELECT id FROM t").value() == "3");
+}
+
 BOOST_AUTO_TEST_CASE(replacing_every_instance_under_load_fails_no_request) {
     fleet all({.m_instances = 3});
     BOOST_REQUIRE(pg_session(all.caller(0), "orders").run("CREATE TABLE t (id int primary key)").m_good);
