End the stream of a channel whose front has gone

A caller that disconnected inside a transaction or during a statement whose home was in another instance left a half-open HTTP/2 stream between the two instances, for as long as their connection lasted: the home let go of the channel but never ended its own direction of the stream. Beyond 100000 such streams, the limit of a connection, new channels wait in nghttp2 without an answer, an error or a deadline, and a leaving instance waits its full 2 s for the connection to be closed.

The home now finishes the stream when the front has finished its direction. Before, a_caller_that_goes_leaves_no_channel_between_instances never saw the number of channels return to 0.

--- a/libs/node/src/peer_server.cpp
+++ b/libs/node/src/peer_server.cpp
@@ -107,7 +107,14 @@
                                       on_frame(std::move(frame));
                                   }
                               },
-                          .m_on_end = abandon,
+                          .m_on_end =
+                              [abandon, weak] {
+                                  abandon();
+                                  // The stream is kept until both directions have ended.
+                                  if (const auto open = weak.lock()) {
+                                      open->finish();
+                                  }
+                              },
                           .m_on_closed = [abandon](stream_end) { abandon(); }});
 }
 
--- a/test/correctness/caller_protocol.cpp
+++ b/test/correctness/caller_protocol.cpp
@@ -107,6 +107,26 @@
     }
 }
 
+/// Guards against channels that their home keeps after the caller has gone, until no new ones open.
+BOOST_FIXTURE_TEST_CASE(a_caller_that_goes_leaves_no_channel_between_instances, two_instances) {
+    pg_session(home_address(), "orders").run("CREATE TABLE t (id int primary key)");
+    for (int count = 0; count < 3; ++count) {
+        pg_session caller(remote_address(), "orders");
+        BOOST_REQUIRE(caller.run("BEGIN").m_good);
+        BOOST_REQUIRE(caller.run("INSERT INTO t VALUES (1)").m_good);
+    }
+    BOOST_TEST(test::eventually([&] {
+        const auto dump = m_fleet.dump(1 - m_home);
+        long channels = 0;
+        for (const auto& shard : dump["shards"]) {
+            for (const auto& link : shard["peer_links"]) {
+                channels += link["channels"].get<long>();
+            }
+        }
+        return channels == 0;
+    }));
+}
+
 /// A request that is not supported must fail with its result code and leave the session usable.
 BOOST_FIXTURE_TEST_CASE(unsupported_requests_are_refused_with_their_result_code, two_instances) {
     pg_session session(home_address(), "orders");
