Send GOAWAY ahead of unsent data

A leaving instance could run a statement of another instance and tell it that the statement was refused. The other instance then repeats a write that has run, or reports it as not run.

send_goaway() packed the frame only while less than 1 MiB was unsent on the connection. Beyond that nghttp2 kept the frame with the last stream of that moment and went on accepting streams; the peer learnt later that those beyond it had been refused.

The frame is now taken out of nghttp2 at once, before any data, so that from then on nghttp2 ignores new streams. Before, a_stream_opened_before_a_delayed_goaway_is_refused_or_served_but_not_both served stream 3 while its GOAWAY named stream 1.

--- a/libs/wire/src/http2_connection.cpp
+++ b/libs/wire/src/http2_connection.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t max_concurrent_streams = 100000;
 /// Output beyond this stays in nghttp2 until the TCP stream has drained.
 constexpr std::size_t max_unsent_bytes = std::size_t{1024} * 1024;
+/// Place of the type in a frame, after the 3 bytes of its length.
+constexpr ssize_t frame_type_offset = 3;
 
 nghttp2_nv header(std::string_view name, std::string_view value) {
     return {.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
@@ -365,9 +367,22 @@
     nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(m_session),
                           NGHTTP2_NO_ERROR, nullptr, 0);
     m_goaway_sent = true;
-    // Flushed at once, not deferred: a stream accepted from now on would lie beyond the last stream
-    // identifier in the frame, so the client would treat it as refused.
-    flush();
+    // Taken out at once, even if much is unsent: until nghttp2 has packed the frame it accepts streams, and
+    // one beyond the last stream identifier in the frame would be served although the client is told that
+    // it is refused. Control frames come before data, so that little else is taken out.
+    std::string frames;
+    bool packed = false;
+    while (!packed) {
+        const std::uint8_t* data = nullptr;
+        const ssize_t size = nghttp2_session_mem_send(m_session, &data);
+        if (size <= 0) {
+            break;
+        }
+        frames.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(size));
+        packed = size > frame_type_offset && data[frame_type_offset] == NGHTTP2_GOAWAY;
+    }
+    m_stream->write(frames);
+    schedule_flush();
 }
 
 void http2_connection::close() {
