--- a/libs/node/src/instance.cpp
+++ b/libs/node/src/instance.cpp
@@ -307,10 +307,17 @@
 /// Answers what is in progress with errors and ends all sessions and channels.
 void instance::impl::end_unfinished() {
     m_ended_unfinished = true;
+    // The homes end after all fronts know that nothing is tried again.
+    const auto collector =
+        std::make_shared<shard_collector>(m_loop, m_shards.size(), [this](const nlohmann::json&) {
+            for (std::size_t index = 0; index < m_shards.size(); ++index) {
+                m_shards[index]->post([this, index] { m_home_directories[index]->end_channels(); });
+            }
+        });
     for (std::size_t index = 0; index < m_shards.size(); ++index) {
-        m_shards[index]->post([this, index] {
+        m_shards[index]->post([this, index, collector] {
             m_fronts[index]->end_unfinished();
-            m_home_directories[index]->end_channels();
+            collector->add({});
         });
     }
 }
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -205,7 +205,10 @@
     BOOST_REQUIRE(eventually([&] { return open_channels(all, home) == 4; }));
 
     all.instance(home).signal(SIGTERM);
-    BOOST_TEST(first_error(running).find("1302 outcome_unknown") != std::string::npos);
+    const std::string running_error = first_error(running);
+    BOOST_TEST_CONTEXT(running_error) {
+        BOOST_TEST(running_error.find("1302 outcome_unknown") != std::string::npos);
+    }
     BOOST_TEST(first_error(waiting).find("1307 instance_leaving (not run)") != std::string::npos);
     BOOST_TEST(first_error(waiting_elsewhere).empty());
     const std::string commit_error = open.run("COMMIT").m_error + open.notices() + open.connect_error();
