Report a write as not run only if no attempt may have run

A write with a request id, or of a repeatable rule, was reported as 1301 upstream_unavailable (not run) or another such code when its first attempt had an unknown outcome and the last one failed before it ran: only the last failure was looked at.

The request now remembers that an attempt may have run, and its failure is 1302 then. A write that was lost with its primary starts anew. Before, a_repeated_write_is_not_reported_as_not_run got 1301 (not run) for a write whose answer was dropped.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -557,6 +557,7 @@
     } else if (m_request->m_unconfirmed_position && why.m_code == result_code::token_beyond_history) {
         m_request->m_unconfirmed_position.reset();
         m_request->m_held_reply.clear();
+        m_request->m_may_have_run = false;
         why = {.m_code = result_code::write_lost,
                .m_message = "the write was lost with the primary that was replaced, and took no effect"};
     }
@@ -623,6 +624,8 @@
         .m_in_transaction = m_request->m_began_in_transaction && !m_request->m_unconfirmed_position,
         .m_reply_started = m_request->m_reply_started,
         .m_deadline = m_request->m_deadline};
+    m_request->m_may_have_run = m_request->m_may_have_run || m_request->m_unconfirmed_position ||
+                                traits_of(why.m_code).m_outcome == outcome::unknown;
     const auto delay =
         m_tries_again ? retry_delay(failed, reactor::now(), m_context.m_shard.random()) : std::nullopt;
     if (!delay) {
@@ -653,7 +656,14 @@
     });
 }
 
-void caller_session::report_failure(const failure& why) {
+void caller_session::report_failure(failure why) {
+    // The last attempt alone does not tell whether the request has run. A reused id belongs to another one.
+    const bool says_not_run =
+        traits_of(why.m_code).m_outcome == outcome::not_run && why.m_code != result_code::request_id_reused;
+    if (says_not_run && m_request->m_may_have_run && !m_request->m_is_read) {
+        why = {.m_code = result_code::outcome_unknown,
+               .m_message = "an attempt before the last one may have run; the last one: " + why.m_message};
+    }
     m_context.m_shard.shard_metrics().count("front.failed." + std::string(traits_of(why.m_code).m_name));
     const bool ends_with_sync = m_request->m_batch.ends_with_sync();
     m_request.reset();
@@ -721,7 +731,7 @@
     }
     failure why{.m_code = result_code::instance_leaving,
                 .m_message = "this instance is going out of service; reconnect"};
-    if (m_channel || m_request->m_unconfirmed_position) {
+    if (m_channel || m_request->m_may_have_run) {
         why = {.m_code = result_code::outcome_unknown,
                .m_message = "this instance is going out of service before the answer"};
     }
--- a/libs/node/src/caller_session.hpp
+++ b/libs/node/src/caller_session.hpp
@@ -86,6 +86,7 @@
         bool m_is_read{false};
         bool m_began_in_transaction{false};
         bool m_reply_started{false};
+        bool m_may_have_run{false};       ///< The outcome of an attempt is unknown.
         bool m_replica_was_behind{false}; ///< The next attempt goes to the primary.
         std::string m_request_id;
         std::optional<log_position>
@@ -124,7 +125,7 @@
     /// Schedules another attempt if the failed one may be retried, else reports `why` to the caller.
     void retry_or_report(failure why);
     /// Ends the request with an error; the session goes on.
-    void report_failure(const failure& why);
+    void report_failure(failure why);
     void refuse_batch(const failure& why, bool ends_with_sync);
     void send_credit(std::uint64_t bytes);
     void on_drained();
--- a/test/correctness/relay_faults.cpp
+++ b/test/correctness/relay_faults.cpp
@@ -86,6 +86,24 @@
     }
 }
 
+/// Guards against "not run" for a write whose first attempt may have run, after later ones did not reach an
+/// upstream.
+BOOST_AUTO_TEST_CASE(a_repeated_write_is_not_reported_as_not_run) {
+    constexpr int outcome_unknown = 1302;
+    fleet all({.m_instances = 1, .m_upstreams = 1, .m_relays = true});
+    standin::pg_session session(all.caller(), "orders");
+    BOOST_REQUIRE(session.run("CREATE TABLE t (id int primary key)").m_good);
+    BOOST_REQUIRE(session.run("SET anvilmount.request_id = 'first'").m_good);
+    BOOST_REQUIRE(session.run("INSERT INTO t VALUES (1)").m_good);
+    BOOST_REQUIRE(session.run("SET anvilmount.deadline = 4000").m_good);
+    BOOST_REQUIRE(session.run("SET anvilmount.request_id = 'second'").m_good);
+    all.relay_fault(0, R"({"drop_answers":true})");
+    const standin::pg_answer answer = session.run("INSERT INTO t VALUES (2)");
+    BOOST_TEST_CONTEXT(answer.m_error) {
+        BOOST_TEST(answer.code() == outcome_unknown);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_statement_whose_response_was_dropped_still_ends) {
     // With one upstream there is no change of primary that ends the statement, and its connections stay
     // open, so no disconnect ends it either. The read must be retried, and the write must end with an
