Refuse a session that begins while the instance leaves

A caller whose startup message reached a leaving instance got the greeting of an open session and at once the FATAL error, which its first statement then met. The instance now answers the startup message with the error, so that connecting fails. Before, a_session_that_begins_while_the_instance_leaves_is_refused got the authentication message first.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -138,6 +138,9 @@
     m_settings.m_origin = {.m_user = parameters["user"], .m_application = parameters["application_name"]};
     m_settings.m_group.m_text =
         parameters["database"].empty() ? m_settings.m_origin.m_user : parameters["database"];
+    if (m_leaving) {
+        return fail(result_code::instance_leaving, "this instance is going out of service; use another");
+    }
     if (m_context.m_knowledge.current()->m_revision == 0) {
         return fail(result_code::configuration_missing,
                     "this instance has no configuration yet; try another");
@@ -161,9 +164,6 @@
         });
     m_phase = phase::ready;
     send_greeting();
-    if (m_leaving) {
-        leave();
-    }
     return {};
 }
 
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -217,6 +217,22 @@
     BOOST_TEST(pg_session(all.caller(1 - home), "orders").run("SELECT id FROM t").value() == "3");
 }
 
+/// Guards against a session that seems to have begun, and whose first statement then meets its end.
+BOOST_AUTO_TEST_CASE(a_session_that_begins_while_the_instance_leaves_is_refused) {
+    fleet all({.m_instances = 1, .m_upstreams = 1});
+    raw_caller caller(all.caller());
+    BOOST_REQUIRE(eventually([&] { return busy_callers(all) == 1; }));
+    all.instance(0).signal(SIGTERM);
+    BOOST_REQUIRE(eventually([&] {
+        return test::run_program(test::program("anvilmountctl"), {"status", "--server", all.operators()})
+                   .m_output.find("leaving") != std::string::npos;
+    }));
+    caller.start("orders");
+    BOOST_TEST(caller.read_to('E'));
+    BOOST_TEST(caller.last_body().find("1307 instance_leaving") != std::string::npos);
+    BOOST_TEST(caller.received().front() == 'E');
+}
+
 BOOST_AUTO_TEST_CASE(replacing_every_instance_under_load_fails_no_request) {
     fleet all({.m_instances = 3});
     BOOST_REQUIRE(pg_session(all.caller(0), "orders").run("CREATE TABLE t (id int primary key)").m_good);
