Log and count why a session ends with a request unanswered

A connection of a caller that ended with a statement in progress left nothing in log or metrics unless a FATAL error was sent, and bytes discarded after the end of a session were invisible.

session.ended_unanswered names the cause, how long the statement had waited, and whether it was at a home; session.input_discarded and session.output_lost tell what crossed the end of a session or was never taken. front.ended_unanswered.CAUSE, front.input_discarded, front.output_lost and home.front_gone count them.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -9,6 +9,7 @@
 #include "anvilmount/observe/event_log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvilmount {
 namespace {
@@ -48,7 +49,13 @@
                                  {.m_on_connected = {},
                                   .m_on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                                   .m_on_drained = [this] { on_drained(); },
-                                  .m_on_closed = [this](close_reason) { close(); }});
+                                  .m_on_closed =
+                                      [this](close_reason reason) {
+                                          report_unanswered(reason == close_reason::by_peer
+                                                                ? "caller_closed"
+                                                                : "caller_unreachable");
+                                          close();
+                                      }});
     m_timer = m_context.m_shard.loop().after(m_context.m_options.m_startup_timeout, [this] {
         close_with_error({.m_code = result_code::startup_timeout,
                           .m_message = "the connection did not start a session in time"});
@@ -58,6 +65,11 @@
 void caller_session::on_bytes(std::string_view bytes) {
     const auto keep_alive = shared_from_this();
     if (is_over()) {
+        if (!std::exchange(m_has_discarded_input, true)) {
+            m_context.m_shard.shard_metrics().count("front.input_discarded");
+            log_event(log_level::info, "session.input_discarded",
+                      {{"group", m_settings.m_group.m_text}, {"bytes", std::to_string(bytes.size())}});
+        }
         return;
     }
     m_input.append(bytes);
@@ -665,6 +677,9 @@
                .m_message = "an attempt before the last one may have run; the last one: " + why.m_message};
     }
     m_context.m_shard.shard_metrics().count("front.failed." + std::string(traits_of(why.m_code).m_name));
+    if (!m_boundary.is_between_messages()) {
+        report_unanswered("answer_broken_off." + std::string(traits_of(why.m_code).m_name));
+    }
     const bool ends_with_sync = m_request->m_batch.ends_with_sync();
     m_request.reset();
     m_in_flush = false;
@@ -748,7 +763,9 @@
         append_failure(out, why, pg_severity::fatal);
         m_stream->write(out);
     }
-    m_context.m_shard.shard_metrics().count("front.closed." + std::string(traits_of(why.m_code).m_name));
+    const std::string code(traits_of(why.m_code).m_name);
+    m_context.m_shard.shard_metrics().count("front.closed." + code);
+    report_unanswered(code);
     end();
 }
 
@@ -765,17 +782,38 @@
     await_close(max_ending_time);
 }
 
+void caller_session::report_unanswered(const std::string& cause) {
+    if (is_over() || !m_request) {
+        return;
+    }
+    m_context.m_shard.shard_metrics().count("front.ended_unanswered." + cause);
+    const auto waited = std::chrono::duration_cast<microseconds>(reactor::now() - m_request->m_arrived_at);
+    log_event(log_level::info, "session.ended_unanswered",
+              {{"cause", cause},
+               {"group", m_settings.m_group.m_text},
+               {"upstream", m_request->m_plan.m_upstream.m_text},
+               {"waited_us", std::to_string(waited.count())},
+               {"attempts", std::to_string(m_request->m_attempts)},
+               {"at_a_home", m_channel ? "yes" : "no"},
+               {"leaving", m_leaving ? "yes" : "no"}});
+}
+
 void caller_session::await_close(milliseconds time_left) {
     m_timer = m_context.m_shard.loop().after(caller_close_timeout, [weak = weak_from_this(), time_left] {
         const auto self = weak.lock();
         if (!self || self->m_phase != phase::ending) {
             return;
         }
-        const bool received = self->m_stream->unacknowledged_bytes() == 0;
-        if (!received && time_left > caller_close_timeout) {
+        const std::size_t missing = self->m_stream->unacknowledged_bytes();
+        if (missing > 0 && time_left > caller_close_timeout) {
             self->await_close(time_left - caller_close_timeout);
             return;
         }
+        if (missing > 0) {
+            self->m_context.m_shard.shard_metrics().count("front.output_lost");
+            log_event(log_level::warning, "session.output_lost",
+                      {{"group", self->m_settings.m_group.m_text}, {"bytes", std::to_string(missing)}});
+        }
         self->close();
     });
 }
--- a/libs/node/src/caller_session.hpp
+++ b/libs/node/src/caller_session.hpp
@@ -135,6 +135,8 @@
     void close_with_error(const failure& why);
     /// Ends the session without an error; the caller gets what was written so far.
     void end();
+    /// Logs and counts a session that ends for `cause` with a request that has no complete answer.
+    void report_unanswered(const std::string& cause);
     /// Closes the connection if the caller does not.
     void await_close(milliseconds time_left);
     void close();
@@ -150,6 +152,7 @@
     bool m_skip_to_sync{false}; ///< After an error: ignore messages up to the next Sync.
     bool m_has_written{false};  ///< A statement other than a read ran since the last commit.
     bool m_leaving{false};
+    bool m_has_discarded_input{false};
     bool m_tries_again{true};     ///< Failed attempts may be repeated.
     bool m_cancel_pending{false}; ///< A cancel request arrived between two attempts.
     backend_key m_key;
--- a/libs/node/src/upstream_home.cpp
+++ b/libs/node/src/upstream_home.cpp
@@ -799,6 +799,7 @@
         return;
     }
     channel->m_front_gone = true;
+    m_shard.shard_metrics().count("home.front_gone");
     if (channel->m_stage == home_channel::stage::waiting_for_ack) {
         return; // The write is committed; there is no caller left to acknowledge it to.
     }
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -217,6 +217,18 @@
     BOOST_TEST(pg_session(all.caller(1 - home), "orders").run("SELECT id FROM t").value() == "3");
 }
 
+/// Guards against connections that end with a statement unanswered and leave no trace of the cause.
+BOOST_AUTO_TEST_CASE(a_statement_whose_caller_disconnects_is_counted_with_its_cause) {
+    fleet all({.m_instances = 1, .m_upstreams = 1});
+    {
+        pg_session caller(all.caller(), "orders");
+        BOOST_REQUIRE(PQsendQuery(caller.native(), "SELECT pg_sleep(20)") == 1);
+        BOOST_REQUIRE(eventually([&] { return running_statements(all, 0) == 1; }));
+    }
+    BOOST_TEST(eventually([&] { return counter(all, "front.ended_unanswered.caller_closed") == 1; }));
+    BOOST_TEST(eventually([&] { return counter(all, "home.front_gone") == 1; }));
+}
+
 /// Guards against a session that seems to have begun, and whose first statement then meets its end.
 BOOST_AUTO_TEST_CASE(a_session_that_begins_while_the_instance_leaves_is_refused) {
     fleet all({.m_instances = 1, .m_upstreams = 1});
