--- a/test/correctness/peer_goaway.cpp
+++ b/test/correctness/peer_goaway.cpp
@@ -77,7 +77,7 @@
         loop.m_loop, peer.served_end(),
         {.m_on_request = [&](const std::shared_ptr<http2_stream>& stream) { served.push_back(stream); }});
     constexpr std::uint32_t window = 16 * 1024 * 1024;
-    constexpr std::size_t unread = 4 * 1024 * 1024;
+    constexpr std::size_t unread = std::size_t{4} * 1024 * 1024;
     const std::string initial_window = number(4, 2) + number(window, 4);
     peer.write("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settings_type, 0, 0, initial_window) +
                frame(window_update_type, 0, 0, number(window, 4)) + request(1));
