Check in the soak that every statement gets a complete answer

Its check looked only at gateways that were told to stop, only when no fault had begun or ended within 4 s, which is hardly ever, and it allowed any statement that had waited for less than 200 ms and had not run: exactly those that cross the end of a session. An answer without a result line passed as well, and so did a statement that waited for 6 s on an open connection.

The ledger now judges each connection that is closed with a statement outstanding by what happened to the process that held it. Excuses are a kill by a fault, a suspension after SIGTERM, and a statement sent in the last 100 ms of a process that leaves. The first two were covered by the 4 s before, the third is narrower than the 200 ms were. A process that is killed because it exceeds its grace period has no excuse, as before.

Callers now meet the end of sessions more often: they may send the next operation at once, stay after a refusal, and connect to a gateway in the first second after SIGTERM.

ledger_notices has a case for each excuse and for what is none.

--- a/test/soak/ledger_notices.cpp
+++ b/test/soak/ledger_notices.cpp
@@ -60,7 +60,7 @@
     }
 
     void refuse(const std::string& id) {
-        m_ledger.on_answer_received(id, {.m_guarantees_no_effect = true}, m_now);
+        m_ledger.on_answer_received(id, {.m_failed = true, .m_guarantees_no_effect = true}, m_now);
     }
 
     void write(const std::string& id, std::uint64_t attempt) {
@@ -201,6 +201,66 @@
     BOOST_TEST(hasty.report() == "committed without the caller's COMMIT");
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_a_result_or_with_two_is_reported) {
+    one_group all;
+    all.send("s1", "SET v 1", 1);
+    all.m_ledger.on_answer_received("s1", {}, all.m_now);
+    BOOST_TEST(all.report() == "answered with no result");
+
+    one_group twice;
+    twice.send("s1", "SET v 1", 1);
+    twice.m_ledger.on_answer_received("s1", {.m_success = true, .m_failed = true}, twice.m_now);
+    BOOST_TEST(twice.report() == "answered with both success and error");
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_that_a_living_gateway_leaves_unanswered_is_reported) {
+    const auto report = [](const auto& change, bool has_run = false) {
+        one_group all;
+        all.send("r1", "READ 1", 1);
+        if (has_run) {
+            all.run("r1", "READ 1");
+        }
+        test::gateway_life life{.m_last_seen = all.m_now};
+        change(life, all.m_now);
+        all.m_ledger.on_closed_unanswered("r1", life);
+        return all.report();
+    };
+    const std::string unanswered = "connection closed without an answer";
+    BOOST_TEST(report([](auto&, auto) {}) == unanswered);
+    // Told to stop and still running, or sent before the last moments of the process.
+    BOOST_TEST(report([](auto& life, auto sent_at) { life.m_told_to_stop = sent_at; }) == unanswered);
+    BOOST_TEST(report([](auto& life, auto sent_at) {
+                   life.m_told_to_stop = sent_at;
+                   life.m_ended = true;
+                   life.m_last_seen = sent_at + 100ms;
+               }) == unanswered);
+    // Suspended, but not told to stop; or not suspended since both SIGTERM and the statement.
+    BOOST_TEST(report([](auto& life, auto sent_at) { life.m_suspended_until = sent_at; }) == unanswered);
+    BOOST_TEST(report([](auto& life, auto sent_at) {
+                   life.m_told_to_stop = sent_at;
+                   life.m_suspended_until = sent_at - 1ms;
+               }) == unanswered);
+    BOOST_TEST(report([](auto& life, auto sent_at) {
+                   life.m_told_to_stop = sent_at + 2ms;
+                   life.m_suspended_until = sent_at + 1ms;
+               }) == unanswered);
+    // An end that nobody asked for explains nothing.
+    BOOST_TEST(report([](auto& life, auto) { life.m_ended = true; }) == unanswered);
+
+    const auto in_last_moments = [](auto& life, auto sent_at) {
+        life.m_told_to_stop = sent_at;
+        life.m_ended = true;
+        life.m_last_seen = sent_at + 99ms;
+    };
+    BOOST_TEST(report(in_last_moments) == "none");
+    BOOST_TEST(report(in_last_moments, true) == unanswered);
+    BOOST_TEST(report([](auto& life, auto) { life.m_killed = true; }) == "none");
+    BOOST_TEST(report([](auto& life, auto sent_at) {
+                   life.m_told_to_stop = sent_at;
+                   life.m_suspended_until = sent_at;
+               }) == "none");
+}
+
 BOOST_AUTO_TEST_CASE(a_promotion_with_an_older_or_reused_fencing_token_is_reported) {
     one_group all;
     all.m_ledger.on_promotion_ordered("one", 3);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -96,12 +96,6 @@
 
     void start_fault(const soak_event& what) {
         const int target = what.m_target;
-        const bool planned = what.m_fault == soak_fault::stop || what.m_fault == soak_fault::reload ||
-                             what.m_fault == soak_fault::configuration ||
-                             what.m_fault == soak_fault::primary_drains;
-        if (!planned) {
-            m_fleet.record_fault();
-        }
         switch (what.m_fault) {
         case soak_fault::kill:
             return m_fleet.kill_gateway(target);
@@ -222,7 +216,6 @@
             m_fleet.set_upstream_faults(target, {});
             break;
         }
-        m_fleet.record_fault();
     }
 
     template <class Action>
@@ -305,6 +298,9 @@
     for (const std::string& each : fleet.ledger().violations()) {
         std::printf("BROKEN %s\n", each.c_str());
     }
+    for (const auto& [excuse, count] : fleet.ledger().excused()) {
+        std::printf("%d statements without an answer, gateway %s\n", count, excuse.c_str());
+    }
     std::uint64_t served = 0;
     for (const test::soak_route& each : fleet.routes()) {
         served += fleet.ledger().successes(each.m_database);
--- a/test/soak/promise_ledger.cpp
+++ b/test/soak/promise_ledger.cpp
@@ -9,6 +9,10 @@
 
 using anvilmount::steady_time;
 
+/// A statement sent within this time before a gateway was last seen running has come after the announced
+/// end of its session.
+constexpr anvilmount::milliseconds last_moments{100};
+
 bool is_read(const std::string& text) {
     return text.starts_with("READ ") || text.starts_with("EXECUTE READ ");
 }
@@ -52,6 +56,10 @@
                                         steady_time now) {
     const statement& known = m_statements.at(id);
     attempt& attempt_record = m_attempts.at(known.m_sent.m_attempt);
+    if (what.m_success == what.m_failed) {
+        report("answered with " + std::string(what.m_success ? "both success and error" : "no result") +
+               ": " + id);
+    }
     if (what.m_guarantees_no_effect) {
         attempt_record.m_no_effect_guaranteed = true;
         if (!attempt_record.m_committed.empty()) {
@@ -99,6 +107,25 @@
     }
 }
 
+void promise_ledger::on_closed_unanswered(const std::string& id, const gateway_life& life) {
+    const steady_time sent_at = m_statements.at(id).m_sent.m_at;
+    const bool suspended =
+        life.m_told_to_stop && life.m_suspended_until >= std::max(sent_at, *life.m_told_to_stop);
+    const bool after_end =
+        life.m_told_to_stop && life.m_ended && !has_run(id) && sent_at + last_moments > life.m_last_seen;
+    const char* const excuse = life.m_killed ? "killed"
+                               : suspended   ? "suspended"
+                               : after_end   ? "past its announced end"
+                                             : nullptr;
+    if (excuse != nullptr) {
+        ++m_excused[excuse];
+    } else {
+        report("connection closed without an answer: " + id +
+               (life.m_told_to_stop ? ", told to stop" : "") + (life.m_ended ? ", ended" : "") +
+               (has_run(id) ? ", has run" : ""));
+    }
+}
+
 void promise_ledger::on_statement_run(const standin::line_execution& what) {
     const auto known = m_statements.find(what.m_id);
     if (known == m_statements.end()) {
--- a/test/soak/promise_ledger.hpp
+++ b/test/soak/promise_ledger.hpp
@@ -40,14 +40,24 @@
     anvilmount::steady_time m_at{};
 };
 
-/// The answer that a caller received.
+/// The answer that a caller received. A complete one has either succeeded or failed.
 struct received_answer {
     bool m_success{false};
+    bool m_failed{false};
     bool m_guarantees_no_effect{false}; ///< The error code says that nothing of the attempt took effect.
     std::string m_proof{};
     std::vector<std::string> m_rows{};
 };
 
+/// What the soak has done to a gateway process, and when it was last seen.
+struct gateway_life {
+    bool m_killed{false};                                       ///< By a fault, with SIGKILL.
+    std::optional<anvilmount::steady_time> m_told_to_stop{};    ///< When SIGTERM was sent.
+    std::optional<anvilmount::steady_time> m_suspended_until{}; ///< End of the newest suspension.
+    bool m_ended{false};
+    anvilmount::steady_time m_last_seen{}; ///< When it was last seen running.
+};
+
 /// Records the events of a soak run and checks each against the earlier ones.
 class promise_ledger {
 public:
@@ -61,6 +71,10 @@
     void on_statement_sent(const sent_statement& what);
     void on_answer_received(const std::string& id, const received_answer& what,
                             anvilmount::steady_time now);
+    /// The gateway that held the caller's connection closed it before the answer to `id` was complete.
+    /// `life` includes what happened shortly after: a gateway that leaves runs for 100 ms after it has
+    /// announced the end of its sessions, and for 500 ms while callers are connected.
+    void on_closed_unanswered(const std::string& id, const gateway_life& life);
     void on_value_set(std::uint64_t session, const std::string& name, const std::string& value);
 
     void on_statement_run(const standin::line_execution& what);
@@ -74,6 +88,8 @@
     /// Records a violation.
     void report(const std::string& what);
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    /// Statements that a closed connection left unanswered with an excuse, by excuse.
+    [[nodiscard]] const std::map<std::string, int>& excused() const { return m_excused; }
     /// Number of reads, writes and COMMITs that succeeded.
     [[nodiscard]] std::uint64_t successes(const std::string& database) const;
 
@@ -129,6 +145,7 @@
     std::map<std::string, std::uint64_t> m_successes;
     std::uint64_t m_newest_token{0};
     std::string m_newest_holder;
+    std::map<std::string, int> m_excused;
     std::vector<std::string> m_violations;
 };
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -11,6 +11,8 @@
 using namespace anvilmount;
 
 constexpr milliseconds answer_timeout{6000};
+/// The configured timeout of a statement is below 2 s.
+constexpr milliseconds max_answer_time{15000};
 constexpr milliseconds reconnect_pause{150};
 constexpr int item_count = 40;
 constexpr int max_statements = 5;
@@ -23,6 +25,9 @@
 constexpr int prepared_percent = 20;
 constexpr int abrupt_close_percent = 2;
 constexpr int terminate_percent = 3;
+/// Of a caller that sends its next operation as soon as it has an answer.
+constexpr int no_pause_percent = 30;
+constexpr int keep_after_failure_percent = 50;
 
 }
 
@@ -56,7 +61,7 @@
         schedule(reconnect_pause, &soak_caller::connect);
         return;
     }
-    m_instance = target->first;
+    m_instance_life = target->m_life;
     m_session = m_environment.m_next_number++;
     m_opened = false;
     m_unread.clear();
@@ -65,7 +70,7 @@
     m_outstanding.reset();
     m_environment.m_ledger.on_session_opened(m_session, m_route);
     m_stream = tcp_stream::connect(
-        m_environment.m_loop, target->second,
+        m_environment.m_loop, target->m_callers,
         {.m_on_connected = [this] { m_stream->write("START " + m_route.m_database + " soak\r\n"); },
          .m_on_bytes =
              [this, session = m_session](std::string_view bytes) {
@@ -97,9 +102,7 @@
 
 void soak_caller::on_connection_lost() {
     if (m_outstanding) {
-        const auto waited =
-            std::chrono::duration_cast<milliseconds>(reactor::now() - m_outstanding->m_sent_at);
-        m_environment.m_on_cut_off(m_instance, m_outstanding->m_id, waited);
+        m_environment.m_on_closed_unanswered(m_instance_life, m_outstanding->m_id);
     }
     end_session(reconnect_pause);
 }
@@ -112,6 +115,7 @@
         return;
     }
     if (!m_outstanding) {
+        // An error outside any answer announces the end of the session.
         if (word != "ERROR") {
             m_environment.m_ledger.report("answer without an outstanding statement: " + line);
         }
@@ -123,9 +127,11 @@
         m_outstanding->m_answer.m_proof = rest;
     } else if (word == "ERROR") {
         const std::string code = rest.substr(0, rest.find(' '));
-        m_outstanding->m_failed = true;
+        m_outstanding->m_answer.m_failed = true;
         m_outstanding->m_answer.m_guarantees_no_effect =
             std::find(no_effect_codes.begin(), no_effect_codes.end(), code) != no_effect_codes.end();
+    } else {
+        m_environment.m_ledger.report("unknown line in the answer to " + m_outstanding->m_id + ": " + line);
     }
 }
 
@@ -142,7 +148,12 @@
     const outstanding done = *m_outstanding;
     m_outstanding.reset();
     m_environment.m_ledger.on_answer_received(done.m_id, done.m_answer, reactor::now());
-    if (done.m_failed || (m_plan.empty() && !state.starts_with("I"))) {
+    const bool is_idle = state.starts_with("I");
+    // After a failed SET or PREPARE, the values and prepared statements of the session are unknown.
+    const bool is_known = !done.m_text.starts_with("SET ") && !done.m_text.starts_with("PREPARE ");
+    if (done.m_answer.m_failed && is_idle && is_known && chance(keep_after_failure_percent)) {
+        m_plan.clear();
+    } else if (done.m_answer.m_failed || (m_plan.empty() && !is_idle)) {
         end_session(milliseconds{draw(300)});
         return;
     }
@@ -158,6 +169,8 @@
     } else if (chance(terminate_percent)) {
         m_stream->write("TERMINATE\r\n");
         end_session(milliseconds{draw(300)});
+    } else if (chance(no_pause_percent)) {
+        next_operation();
     } else {
         schedule(milliseconds{20 + draw(160)}, &soak_caller::next_operation);
     }
@@ -234,10 +247,19 @@
 }
 
 void soak_caller::check_timeout(const std::string& id) {
-    if (!m_stopped && m_outstanding && m_outstanding->m_id == id) {
-        m_outstanding.reset();
-        end_session(reconnect_pause);
+    if (m_stopped || !m_outstanding || m_outstanding->m_id != id) {
+        return;
     }
+    const steady_time sent_at = m_outstanding->m_sent_at;
+    if (!m_environment.m_may_be_delayed(sent_at)) {
+        if (reactor::now() < sent_at + max_answer_time) {
+            m_environment.m_loop.after(answer_timeout, [this, id] { check_timeout(id); });
+            return;
+        }
+        m_environment.m_ledger.report("no answer and no closed connection: " + id);
+    }
+    m_outstanding.reset();
+    end_session(reconnect_pause);
 }
 
 }
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -1,7 +1,8 @@
 /// \file soak_caller.hpp
 /// A simulated caller of the soak. It connects to a random instance, runs random
 /// operations one after the other, reports what it sent and received to the ledger,
-/// and sometimes closes its connection without TERMINATE.
+/// and sometimes closes its connection without TERMINATE. It uses a connection until
+/// the instance announces the end of the session, also while that instance leaves.
 #pragma once
 
 #include "soak/promise_ledger.hpp"
@@ -21,10 +22,16 @@
     promise_ledger& m_ledger;
     std::mt19937& m_random;
     std::uint64_t m_next_number{1}; ///< Numbers sessions, attempts and statements.
-    std::function<std::optional<std::pair<int, anvilmount::endpoint>>()> m_pick_instance{};
-    /// Called when an instance closes a session whose statement `id` has been unanswered for the given
-    /// time.
-    std::function<void(int instance, const std::string& id, anvilmount::milliseconds)> m_on_cut_off{};
+    struct instance {
+        anvilmount::endpoint m_callers{};
+        std::shared_ptr<const gateway_life> m_life{};
+    };
+    std::function<std::optional<instance>()> m_pick_instance{};
+    /// Called when an instance closes a connection whose statement `id` has no complete answer.
+    std::function<void(const std::shared_ptr<const gateway_life>&, const std::string& id)>
+        m_on_closed_unanswered{};
+    /// Whether a suspended gateway, or silence between gateways, may have delayed an answer since then.
+    std::function<bool(anvilmount::steady_time since)> m_may_be_delayed{};
 };
 
 class soak_caller {
@@ -49,7 +56,6 @@
         std::string m_text{};
         anvilmount::steady_time m_sent_at{};
         received_answer m_answer{};
-        bool m_failed{false};
     };
 
     /// Returns a random number from 0 to `below` - 1.
@@ -74,7 +80,7 @@
     std::string m_unread;
     std::uint64_t m_session{0}; ///< Changes with each connection.
     std::uint64_t m_attempt{0};
-    int m_instance{0};
+    std::shared_ptr<const gateway_life> m_instance_life;
     bool m_opened{false};
     bool m_stopped{false};
     bool m_in_transaction{false};         ///< The current operation is a transaction.
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -1,6 +1,6 @@
 /// \file soak_fleet.cpp
 /// Starts and restarts the gateway processes, publishes configuration and registrations,
-/// and decides which lost sessions and late commits the faults explain.
+/// and decides which late commits the faults explain.
 #include "soak/soak_fleet.hpp"
 
 #include "http_channel.hpp"
@@ -48,11 +48,12 @@
 /// Requests sent before a pause or a path delay may still arrive for this long after it ends.
 constexpr milliseconds in_flight_time{1000};
 
-/// Sessions cut off within this time after an unplanned fault are attributed to the fault.
-constexpr milliseconds settling_time{4000};
+/// Callers are brought to a gateway that was told to stop for this long.
+constexpr milliseconds balancer_notice_time{1000};
 
-/// A request that arrives while its session is being closed may remain unread for this long.
-constexpr milliseconds crossing_time{200};
+/// From the closing of a connection until it is judged. A process whose end closes the connection has been
+/// seen to end by then; one that closes it before its end still runs.
+constexpr milliseconds judgement_delay{80};
 
 constexpr int grace_s = 6;
 
@@ -83,18 +84,26 @@
                   return m_upstreams.promote(order.m_group, order.m_candidate);
               }),
       m_environment{.m_loop = loop, .m_ledger = m_ledger, .m_random = m_random} {
-    m_environment.m_pick_instance = [this]() -> std::optional<std::pair<int, endpoint>> {
+    m_environment.m_pick_instance = [this]() -> std::optional<soak_environment::instance> {
         const int picked = std::uniform_int_distribution<int>(0, m_options.m_gateways - 1)(m_random);
         const gateway_process& target = m_gateways[static_cast<std::size_t>(picked)];
-        if (!target.m_process || target.m_leaving_since) {
+        if (!target.m_process ||
+            (target.m_leaving_since && reactor::now() > *target.m_leaving_since + balancer_notice_time)) {
             return std::nullopt;
         }
-        return std::pair{picked, gateway_address(picked, callers)};
+        return soak_environment::instance{.m_callers = gateway_address(picked, callers),
+                                          .m_life = target.m_life};
     };
     m_store.set_write_observer([this](const std::string&, const std::string& key,
                                       const std::string& value) { on_store_write(key, value); });
-    m_environment.m_on_cut_off = [this](int gateway, const std::string& id, milliseconds waited) {
-        on_cut_off(gateway, id, waited);
+    m_environment.m_on_closed_unanswered = [this](const auto& life, const std::string& id) {
+        on_closed_unanswered(life, id);
+    };
+    m_environment.m_may_be_delayed = [this](steady_time since) {
+        return m_instances_silent_until >= since ||
+               std::any_of(m_gateways.begin(), m_gateways.end(), [&](const gateway_process& each) {
+                   return each.m_life->m_suspended_until && *each.m_life->m_suspended_until >= since;
+               });
     };
 }
 
@@ -189,6 +198,7 @@
     target.m_log_size_at_start = log_size(number);
     target.m_process = std::make_unique<child_process>(m_options.m_gateway_program,
                                                        std::vector<std::string>{}, base + ".log");
+    target.m_life = std::make_shared<gateway_life>(gateway_life{.m_last_seen = reactor::now()});
     target.m_paused = false;
     target.m_leaving_since.reset();
 }
@@ -200,38 +210,48 @@
     return missing ? 0 : size;
 }
 
-/// Reports gateways that ended unexpectedly, kills those that exceed their grace period by a second,
-/// and restarts all that ended.
 void soak_fleet::poll_processes() {
     for (int number = 0; number < m_options.m_gateways; ++number) {
-        gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
-        if (!each.m_process) {
-            continue;
-        }
-        const std::optional<int> ended = each.m_process->try_wait();
-        const bool overdue = !ended && each.m_leaving_since && !each.m_paused &&
-                             reactor::now() > *each.m_leaving_since + std::chrono::seconds{grace_s + 1};
-        if (overdue) {
-            each.m_process->kill_now();
-        }
-        if (!ended && !overdue) {
-            continue;
-        }
-        // SIGTERM ends a process that has not come as far as handling it, nor accepted anything.
-        const bool ended_in_start = ended && each.m_leaving_since && *ended == ended_by_signal + SIGTERM &&
-                                    log_size(number) == each.m_log_size_at_start;
-        if (ended && !ended_in_start && (*ended != 0 || !each.m_leaving_since)) {
-            m_ledger.report("gateway " + std::to_string(number) + " ended unexpectedly with exit code " +
-                            std::to_string(*ended));
-        }
-        each.m_process.reset();
-        if (!m_ending) {
-            m_loop.after(restart_delay, [this, number] { restart_gateway(number); });
-        }
+        poll_process(number);
     }
     m_loop.after(process_poll_interval, [this] { poll_processes(); });
 }
 
+/// Reports a gateway that ended unexpectedly, kills one that exceeds its grace period by a second, and
+/// restarts one that ended.
+void soak_fleet::poll_process(int number) {
+    gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
+    if (!each.m_process) {
+        return;
+    }
+    const steady_time now = reactor::now();
+    const std::optional<int> ended = each.m_process->try_wait();
+    const bool overdue = !ended && each.m_leaving_since && !each.m_paused &&
+                         now > *each.m_leaving_since + std::chrono::seconds{grace_s + 1};
+    each.m_life->m_ended = ended.has_value();
+    if (!ended) {
+        each.m_life->m_last_seen = now;
+    }
+    if (overdue) {
+        std::printf("        gateway %d exceeds its grace period and is killed\n", number);
+        each.m_process->kill_now();
+    }
+    if (!ended && !overdue) {
+        return;
+    }
+    // SIGTERM ends a process that has not come as far as handling it, nor accepted anything.
+    const bool ended_in_start = ended && each.m_leaving_since && *ended == ended_by_signal + SIGTERM &&
+                                log_size(number) == each.m_log_size_at_start;
+    if (ended && !ended_in_start && (*ended != 0 || !each.m_leaving_since)) {
+        m_ledger.report("gateway " + std::to_string(number) + " ended unexpectedly with exit code " +
+                        std::to_string(*ended));
+    }
+    each.m_process.reset();
+    if (!m_ending) {
+        m_loop.after(restart_delay, [this, number] { restart_gateway(number); });
+    }
+}
+
 void soak_fleet::count_ready(std::function<void(int)> done) {
     const auto count = std::make_shared<int>(0);
     const auto pending = std::make_shared<int>(m_options.m_gateways);
@@ -262,7 +282,11 @@
 }
 
 void soak_fleet::kill_gateway(int number) {
-    m_gateways[static_cast<std::size_t>(number)].m_process.reset();
+    gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
+    if (target.m_process) {
+        target.m_life->m_killed = true;
+        target.m_process.reset();
+    }
 }
 
 void soak_fleet::restart_gateway(int number) {
@@ -276,6 +300,7 @@
     if (target.m_process) {
         target.m_process->signal(SIGSTOP);
         target.m_paused = true;
+        target.m_life->m_suspended_until = steady_time::max();
     }
 }
 
@@ -284,6 +309,7 @@
     if (target.m_process && target.m_paused) {
         target.m_process->signal(SIGCONT);
         target.m_paused = false;
+        target.m_life->m_suspended_until = reactor::now();
         m_path_delayed_until = std::max(m_path_delayed_until, reactor::now() + in_flight_time);
         if (target.m_leaving_since) {
             target.m_leaving_since = reactor::now();
@@ -303,7 +329,6 @@
     m_pauses_confirmed = false;
     m_paused_coordinator = std::stoi(holder.substr(gateway_prefix.size()));
     std::printf("        confirmed_pause stops %s\n", holder.c_str());
-    record_fault();
     pause_gateway(*m_paused_coordinator);
 }
 
@@ -319,6 +344,7 @@
     if (target.m_process && !target.m_leaving_since) {
         target.m_process->signal(SIGTERM);
         target.m_leaving_since = reactor::now();
+        target.m_life->m_told_to_stop = target.m_leaving_since;
     }
 }
 
@@ -336,6 +362,11 @@
 
 void soak_fleet::set_isolation_faults(int gateway, const standin::relay_faults& faults) {
     set_store_path_faults(gateway, faults);
+    if (faults.m_stall) {
+        m_instances_silent_until = steady_time::max();
+    } else if (m_instances_silent_until == steady_time::max()) {
+        m_instances_silent_until = reactor::now();
+    }
     for (const gateway_process& each : m_gateways) {
         for (const auto& path : each.m_peer_paths) {
             path->set_faults(faults);
@@ -472,14 +503,16 @@
     m_ledger.on_committed(what, leader != upstream, paused || reactor::now() < m_path_delayed_until);
 }
 
-/// A gateway that is draining must complete the requests that it has read. Sessions that an unplanned
-/// fault cut off are exempt.
-void soak_fleet::on_cut_off(int gateway, const std::string& id, milliseconds waited) {
-    const gateway_process& target = m_gateways[static_cast<std::size_t>(gateway)];
-    const bool planned = target.m_leaving_since && reactor::now() > m_last_fault_at + settling_time;
-    if (planned && (waited > crossing_time || m_ledger.has_run(id))) {
-        m_ledger.report("request cut off by a draining gateway: " + id);
-    }
+void soak_fleet::on_closed_unanswered(const std::shared_ptr<const gateway_life>& life,
+                                      const std::string& id) {
+    m_loop.after(judgement_delay, [this, life, id] {
+        for (int number = 0; number < m_options.m_gateways; ++number) {
+            if (m_gateways[static_cast<std::size_t>(number)].m_life == life) {
+                poll_process(number);
+            }
+        }
+        m_ledger.on_closed_unanswered(id, *life);
+    });
 }
 
 void soak_fleet::end_gateways() {
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -73,10 +73,6 @@
     /// again a moment later.
     void restore_store(anvilmount::milliseconds age);
 
-    /// Records that an unplanned fault starts or ends now; sessions cut off soon after are attributed
-    /// to it.
-    void record_fault() { m_last_fault_at = anvilmount::reactor::now(); }
-
     /// Stops the gateways one by one with SIGTERM and reports those with a non-zero exit code.
     void end_gateways();
 
@@ -88,6 +84,7 @@
 private:
     struct gateway_process {
         std::unique_ptr<child_process> m_process{};
+        std::shared_ptr<gateway_life> m_life{}; ///< Of the newest process.
         std::unique_ptr<standin::fault_relay> m_store_path{};
         /// From the other gateways to the addresses that it advertises to them.
         std::vector<std::unique_ptr<standin::fault_relay>> m_peer_paths{};
@@ -102,6 +99,7 @@
     [[nodiscard]] std::uintmax_t log_size(int number) const;
     void write_settings(int number) const;
     void poll_processes();
+    void poll_process(int number);
     void write_configuration();
     void publish_registration(const std::string& upstream);
     [[nodiscard]] std::string registration(int upstream) const;
@@ -109,7 +107,7 @@
     [[nodiscard]] std::string primary_of(int gateway) const;
     void on_store_write(const std::string& key, const std::string& value);
     void on_commit(const std::string& upstream, const standin::line_commit& what);
-    void on_cut_off(int gateway, const std::string& id, anvilmount::milliseconds waited);
+    void on_closed_unanswered(const std::shared_ptr<const gateway_life>& life, const std::string& id);
     [[nodiscard]] static std::string group_name(int number) { return "group" + std::to_string(number); }
 
     anvilmount::reactor& m_loop;
@@ -129,8 +127,8 @@
     std::vector<soak_route> m_routes;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::uint64_t m_revision{1};
-    anvilmount::steady_time m_last_fault_at{};
-    anvilmount::steady_time m_path_delayed_until{}; ///< Until then, delayed writes may still arrive.
+    anvilmount::steady_time m_instances_silent_until{}; ///< To each other.
+    anvilmount::steady_time m_path_delayed_until{};     ///< Until then, delayed writes may still arrive.
     bool m_ending{false};
 };
 
