Change the placement of sessions in the soak beside gateways that stop

The soak's configuration changes moved no session: with four gateways and 21 connections every gateway holds connections to every group, and only timeouts changed. Neither a forwarded session nor a moved one met a gateway that leaves.

For 6 s the configuration now changes each 400 ms: timeouts, and either the connection limit, so that two, three or six gateways hold connections to a group, or the account and quota of the callers. Meanwhile up to five gateways are told to stop in turn and another one is killed. The events are drawn apart, so that earlier seeds keep their other faults.

--- a/test/soak/ledger_notices.cpp
+++ b/test/soak/ledger_notices.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 
@@ -285,5 +287,9 @@
         BOOST_TEST((first[index].m_fault == again[index].m_fault));
         BOOST_TEST(first[index].m_target == again[index].m_target);
     }
+    for (const auto fault : {test::soak_fault::configuration_series, test::soak_fault::stop}) {
+        BOOST_TEST(std::any_of(first.begin(), first.end(),
+                               [&](const test::soak_event& each) { return each.m_fault == fault; }));
+    }
     BOOST_TEST((other.size() != first.size() || other.front().m_fault != first.front().m_fault));
 }
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -43,6 +43,7 @@
 constexpr milliseconds served_window{6000};
 
 constexpr milliseconds configuration_interval{150};
+constexpr milliseconds series_interval{400};
 
 /// Runs one soak: waits for the gateways, injects the scheduled faults and checks recovery.
 class soak_run {
@@ -155,6 +156,11 @@
             for (int number = 0; number < 3; ++number) {
                 m_loop.after(configuration_interval * number, [this] { m_fleet.change_configuration(); });
             }
+            return;
+        case soak_fault::configuration_series:
+            for (milliseconds at{0}; at < what.m_active_time; at += series_interval) {
+                m_loop.after(at, [this] { m_fleet.change_placement(); });
+            }
         }
     }
 
@@ -182,6 +188,8 @@
         case soak_fault::store_late:
             m_fleet.store().set_faults({});
             break;
+        case soak_fault::configuration_series:
+            return m_fleet.restore_placement();
         case soak_fault::confirmed_pause:
             m_fleet.resume_confirmed();
             break;
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -71,7 +71,7 @@
     m_environment.m_ledger.on_session_opened(m_session, m_route);
     m_stream = tcp_stream::connect(
         m_environment.m_loop, target->m_callers,
-        {.m_on_connected = [this] { m_stream->write("START " + m_route.m_database + " soak\r\n"); },
+        {.m_on_connected = [this] { m_stream->write("START " + m_route.m_database + " " + key + "\r\n"); },
          .m_on_bytes =
              [this, session = m_session](std::string_view bytes) {
                  m_unread.append(bytes);
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -36,6 +36,9 @@
 
 class soak_caller {
 public:
+    /// Names the callers; a key of an account while the configuration has accounts.
+    static constexpr const char* key = "soak";
+
     soak_caller(soak_environment& environment, soak_route route)
         : m_environment(environment), m_route(std::move(route)) {}
 
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -55,8 +56,15 @@
 /// seen to end by then; one that closes it before its end still runs.
 constexpr milliseconds judgement_delay{80};
 
+/// Connection limits and quotas of change_placement(): two, three or six holders of a group, and one or
+/// more homes of the account.
+constexpr std::array connection_limits{6, 9, max_connections};
+constexpr std::array account_rates{30, 600, 6000};
+
 constexpr int grace_s = 6;
 
+constexpr const char* caller_account = "soak";
+
 /// Added to the number of a signal in the exit code of a process that it ended.
 constexpr int ended_by_signal = 128;
 
@@ -83,7 +91,8 @@
                   m_ledger.on_promotion_ordered(order.m_holder, order.m_token);
                   return m_upstreams.promote(order.m_group, order.m_candidate);
               }),
-      m_environment{.m_loop = loop, .m_ledger = m_ledger, .m_random = m_random} {
+      m_environment{.m_loop = loop, .m_ledger = m_ledger, .m_random = m_random},
+      m_connection_limit(max_connections) {
     m_environment.m_pick_instance = [this]() -> std::optional<soak_environment::instance> {
         const int picked = std::uniform_int_distribution<int>(0, m_options.m_gateways - 1)(m_random);
         const gateway_process& target = m_gateways[static_cast<std::size_t>(picked)];
@@ -471,12 +480,18 @@
     }
     json services = json::array();
     for (int group = 0; group < m_options.m_groups; ++group) {
-        services.push_back({{"name", group_name(group)}, {"maxConnections", max_connections}});
+        services.push_back({{"name", group_name(group)}, {"maxConnections", m_connection_limit}});
+    }
+    json all{{"version", m_revision},
+             {"routes", routes},
+             {"services", services},
+             {"limits", {{"txIdleMs", 5000}}}};
+    if (m_account_rate) {
+        all["tenants"] = {{{"name", caller_account},
+                           {"apiKeys", {soak_caller::key}},
+                           {"ratePerS", *m_account_rate},
+                           {"burstSize", *m_account_rate}}};
     }
-    const json all{{"version", m_revision},
-                   {"routes", routes},
-                   {"services", services},
-                   {"limits", {{"txIdleMs", 5000}}}};
     m_store.put("op", "config", all.dump());
 }
 
@@ -495,6 +510,23 @@
     write_configuration();
 }
 
+void soak_fleet::change_placement() {
+    if (m_random() % 2 == 0) {
+        m_connection_limit = connection_limits[m_random() % connection_limits.size()];
+    } else if (m_account_rate) {
+        m_account_rate.reset();
+    } else {
+        m_account_rate = account_rates[m_random() % account_rates.size()];
+    }
+    change_configuration();
+}
+
+void soak_fleet::restore_placement() {
+    m_connection_limit = max_connections;
+    m_account_rate.reset();
+    change_configuration();
+}
+
 void soak_fleet::on_commit(const std::string& upstream, const standin::line_commit& what) {
     const std::string leader =
         m_upstreams.newest_primary(group_name(upstream_number(upstream) / members_per_group));
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -69,6 +69,12 @@
     [[nodiscard]] standin::row_store& store() { return m_store; }
     void change_configuration();
 
+    /// Changes the routes, and the number of gateways that hold connections to a group or the quota of the
+    /// callers' account, so that sessions are forwarded and moved.
+    void change_placement();
+    /// Goes back to the first configuration but for its revision.
+    void restore_placement();
+
     /// The store comes back from a copy of that age; the configuration and the registrations are written
     /// again a moment later.
     void restore_store(anvilmount::milliseconds age);
@@ -127,6 +133,8 @@
     std::vector<soak_route> m_routes;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     std::uint64_t m_revision{1};
+    int m_connection_limit;              ///< Of each upstream, as configured.
+    std::optional<int> m_account_rate{}; ///< Set: callers have an account with this quota, per second.
     anvilmount::steady_time m_instances_silent_until{}; ///< To each other.
     anvilmount::steady_time m_path_delayed_until{};     ///< Until then, delayed writes may still arrive.
     bool m_ending{false};
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -81,6 +81,18 @@
 constexpr milliseconds pause_after_turns{3000};
 constexpr milliseconds turn_interval{15000};
 
+/// Planned work, drawn apart: the configuration changes in a series while gateways are stopped in turn and
+/// another one is killed.
+constexpr fault_kind series_kind{soak_fault::configuration_series, "configuration_series",
+                                 target_kind::fleet, 0, milliseconds{6000}};
+constexpr std::uint32_t work_seed_salt = 0x90bcu;
+constexpr milliseconds first_work{1000};
+constexpr milliseconds work_interval{11000};
+constexpr milliseconds first_stop_of_work{600};
+constexpr milliseconds max_stop_gap{1600};
+constexpr int max_stops_of_work = 5;
+constexpr milliseconds kill_of_work{2500};
+
 constexpr milliseconds min_active_time{100};
 constexpr milliseconds max_interval{2200};
 
@@ -147,6 +159,31 @@
     return events;
 }
 
+std::vector<soak_event> draw_planned_work(std::uint32_t seed, const soak_size& size) {
+    std::mt19937 random(seed ^ work_seed_salt);
+    const auto below = [&](std::int64_t limit) {
+        return std::uniform_int_distribution<std::int64_t>(0, limit - 1)(random);
+    };
+    std::vector<soak_event> events;
+    for (milliseconds at = first_work; at < size.m_duration; at += work_interval) {
+        events.push_back(
+            {.m_at = at, .m_active_time = series_kind.m_max_active_time, .m_fault = series_kind.m_fault});
+        const int first = static_cast<int>(below(size.m_gateways));
+        const int stops = std::min(size.m_gateways - 1, max_stops_of_work);
+        milliseconds stop_at = at + first_stop_of_work;
+        for (int turn = 0; turn < stops; ++turn) {
+            events.push_back(lease_event(soak_fault::stop, stop_at, (first + turn) % size.m_gateways));
+            stop_at += min_active_time + milliseconds{below(max_stop_gap.count())};
+        }
+        const int killed = (first + stops) % size.m_gateways;
+        events.push_back({.m_at = at + kill_of_work + milliseconds{below(max_stop_gap.count())},
+                          .m_active_time = min_active_time + milliseconds{below(max_stop_gap.count())},
+                          .m_fault = soak_fault::kill,
+                          .m_target = killed});
+    }
+    return events;
+}
+
 /// Restores fall into the first half and later: at least one in a schedule of twelve seconds.
 std::vector<soak_event> draw_restores(std::uint32_t seed, const soak_size& size) {
     std::mt19937 random(seed ^ restore_seed_salt);
@@ -172,7 +209,9 @@
             return each.m_name;
         }
     }
-    return fault == restore_kind.m_fault ? restore_kind.m_name : lease_kind(fault).m_name;
+    return fault == restore_kind.m_fault  ? restore_kind.m_name
+           : fault == series_kind.m_fault ? series_kind.m_name
+                                          : lease_kind(fault).m_name;
 }
 
 std::vector<soak_event> draw_schedule(std::uint32_t seed, const soak_size& size) {
@@ -207,8 +246,8 @@
         events.push_back(
             {.m_at = at, .m_active_time = active_time, .m_fault = kind->m_fault, .m_target = target});
     }
-    for (const auto& drawn :
-         {draw_restores(seed, size), draw_lease_faults(seed, size), draw_turns(seed, size)}) {
+    for (const auto& drawn : {draw_restores(seed, size), draw_lease_faults(seed, size),
+                              draw_turns(seed, size), draw_planned_work(seed, size)}) {
         events.insert(events.end(), drawn.begin(), drawn.end());
     }
     std::stable_sort(events.begin(), events.end(), [](const soak_event& left, const soak_event& right) {
--- a/test/soak/soak_schedule.hpp
+++ b/test/soak/soak_schedule.hpp
@@ -41,6 +41,7 @@
     primary_refuses,  ///< The primary of a group refuses all gateways but one.
     store_late,       ///< The store applies 35% of the changes 1 to 6 s later, unanswered.
     confirmed_pause,  ///< The coordinator is suspended as its next order is confirmed.
+    configuration_series, ///< Routes, connection limits and accounts change each 400 ms.
 };
 
 /// One fault of a schedule.
