--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -253,6 +253,22 @@
     BOOST_TEST(site.m_caller.is_closed());
 }
 
+BOOST_AUTO_TEST_CASE(a_statement_sent_ahead_is_served_when_no_instance_accepts_its_session) {
+    test::event_loop loop;
+    test::gateway_fleet fleet(12, 1, test::test_address(20));
+    int forwarding = 1;
+    while (!fleet.instance(forwarding).forwarding_target("pay")) {
+        ++forwarding;
+    }
+    raw_peer caller;
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding),
+                                test::unlimited_callers(loop));
+    caller.write("START pay caller\r\nQUERY ahead READ 1\r\n");
+    loop.run_until([&] { return ready_lines(caller.received()) == 1; });
+    fleet.run_for(100ms);
+    BOOST_TEST(ready_lines(caller.received()) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_ends_its_forwarded_session_gets_no_error) {
     forwarding_instance site(
         [](forwarding_instance&, tcp_stream& stream) { stream.write("READY I -\r\n"); });
