--- a/test/soak/promise_ledger.hpp
+++ b/test/soak/promise_ledger.hpp
@@ -72,8 +72,8 @@
     void on_answer_received(const std::string& id, const received_answer& what,
                             anvilmount::steady_time now);
     /// The gateway that held the caller's connection closed it before the answer to `id` was complete.
-    /// `life` includes what happened shortly after: a gateway that leaves runs for 100 ms after it has
-    /// announced the end of its sessions, and for 500 ms while callers are connected.
+    /// `life` includes what happened shortly after: a gateway that leaves goes on for 100 ms after it has
+    /// announced the end of its sessions, and while callers are connected.
     void on_closed_unanswered(const std::string& id, const gateway_life& life);
     void on_value_set(std::uint64_t session, const std::string& name, const std::string& value);
 
