Answer callers that have closed their sending direction

What callers saw: a caller that sent a statement and then closed its sending direction got neither an answer nor a refusal, at any time and without any fault. A write had run.

Cause: the stream took the end of the peer's input for the end of the connection and closed it, which dropped the session, its statement in service and all lines that had been read behind it. The same class as the ends of sessions: one end decides alone that the other is done, though the other still waits.

The stream now tells its owner that the input has ended, and stays open for writing.

--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -30,6 +30,9 @@
         std::function<void()> m_on_connected{};
         std::function<void(std::string_view bytes)> m_on_bytes{};
         std::function<void()> m_on_drained{}; ///< The kernel has accepted all written bytes.
+        /// The peer has closed its sending direction and may still read. Without this handler the stream is
+        /// closed, and m_on_closed is called.
+        std::function<void()> m_on_input_ended{};
         std::function<void(close_reason)> m_on_closed{};
     };
 
@@ -106,6 +109,7 @@
     std::uint32_t m_watched_events{0}; ///< Event mask last passed to the reactor.
     bool m_connecting{false};
     bool m_reading_paused{false};
+    bool m_input_ended{false}; ///< Nothing is left to read.
     bool m_connect_refused{false};
     bool m_close_after_flush{false};
     bool m_finishing{false};
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -121,7 +121,7 @@
     if ((events & EPOLLOUT) != 0 && !flush()) {
         return;
     }
-    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_reading_paused) {
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_reading_paused && !m_input_ended) {
         read_available();
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         fail(close_reason::by_network);
@@ -134,6 +134,10 @@
     if (received > 0) {
         m_reactor.traffic().m_received += static_cast<std::uint64_t>(received);
         m_handlers.m_on_bytes({chunk.data(), static_cast<std::size_t>(received)});
+    } else if (received == 0 && m_handlers.m_on_input_ended) {
+        m_input_ended = true;
+        update_events();
+        m_handlers.m_on_input_ended();
     } else if (received == 0) {
         fail(close_reason::by_peer);
     } else if (!would_block()) {
@@ -233,7 +237,8 @@
     if (!is_open() || m_connecting) {
         return;
     }
-    const std::uint32_t wanted = (m_reading_paused ? 0U : EPOLLIN) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
+    const bool reads = !m_reading_paused && !m_input_ended;
+    const std::uint32_t wanted = (reads ? EPOLLIN : 0U) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
     if (wanted != m_watched_events) {
         m_watched_events = wanted;
         m_reactor.set_events(m_fd, wanted);
@@ -282,11 +287,15 @@
         return;
     }
     m_lingering = true;
+    // The owner may drop the stream now: the timer keeps a reference until the stream is closed.
+    m_reactor.defer([self = shared_from_this()] { self->m_handlers = {}; });
+    if (m_input_ended) {
+        close();
+        return;
+    }
     m_reading_paused = true;
     shutdown(m_fd, SHUT_WR);
     update_events();
-    // The owner may drop the stream now: the timer keeps a reference until the stream is closed.
-    m_reactor.defer([self = shared_from_this()] { self->m_handlers = {}; });
     m_reactor.after(linger_time, [self = shared_from_this()] {
         self->report_discarded();
         self->close();
@@ -305,7 +314,7 @@
     if (m_fd < 0) {
         return;
     }
-    if (m_watched_events != 0 || m_connecting || m_reading_paused) {
+    if (m_watched_events != 0 || m_connecting || m_reading_paused || m_input_ended) {
         m_reactor.unwatch(m_fd);
     }
     ::close(m_fd);
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -46,6 +46,14 @@
         m_fleet.run_for(time);
     }
 
+    /// Runs until so many statements that were sent at once are served one after the other.
+    void run_statements(int count) {
+        for (; count > 0; --count) {
+            run_for(200ms);
+        }
+        (void)m_peer.received();
+    }
+
     void serve_caller() {
         line_protocol::serve_caller(m_loop.m_loop, m_peer.served_end(), m_fleet.instance(1),
                                     test::unlimited_callers(m_loop));
@@ -309,3 +317,75 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_has_closed_its_sending_direction_gets_its_answers) {
+    struct {
+        const char* m_sent;
+        std::ptrdiff_t m_answers;
+        std::size_t m_runs;
+    } const cases[] = {
+        {"QUERY last WRITE 1 a\r\n", 1, 1},
+        {"QUERY one READ 1\r\nQUERY two READ 2\r\n", 2, 2},
+        {"QUERY begin BEGIN\r\nQUERY write WRITE 1 a\r\nQUERY commit COMMIT\r\n", 3, 2},
+        {"QUERY begin BEGIN\r\nQUERY write WRITE 1 a\r\n", 2, 1},
+        {"QUERY last READ 1\r\nQUERY incomplete WRI", 1, 1},
+    };
+    for (const auto& each : cases) {
+        BOOST_TEST_CONTEXT(each.m_sent) {
+            served_connection served;
+            served.serve_caller();
+            served.m_peer.write(each.m_sent);
+            served.m_peer.end_writing();
+            served.run_statements(3);
+            BOOST_TEST(ready_lines(served.m_peer.received()) == 2 + each.m_answers);
+            BOOST_TEST(served.m_peer.is_closed());
+            BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1 + each.m_runs);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_caller_that_has_closed_its_sending_direction_gets_the_answers_of_a_forwarded_session) {
+    forwarding_instance site([](forwarding_instance& at, tcp_stream& stream) {
+        if (at.m_forwarded.find("QUERY") == std::string::npos) {
+            stream.write("READY I -\r\n");
+        }
+    });
+    site.m_caller.write("QUERY last WRITE 1 a\r\n");
+    site.m_caller.end_writing();
+    site.m_loop.run_until([&] {
+        (void)site.m_caller.received();
+        return site.m_forwarded.find("QUERY last") != std::string::npos;
+    });
+    (void)site.m_caller.received();
+    site.m_streams.back()->write("COMPLETE proof\r\nREADY I 1.2\r\n");
+    site.run_until_ready(2);
+    BOOST_TEST(site.m_caller.received() == "READY I -\r\nCOMPLETE proof\r\nREADY I 1.2\r\n");
+    BOOST_TEST(site.m_caller.is_closed());
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_caller_that_has_closed_its_sending_direction_before_its_session_opened_gets_its_answer) {
+    served_connection served;
+    line_protocol::serve_caller(served.m_loop.m_loop, served.m_peer.served_end(),
+                                served.m_fleet.instance(1), test::unlimited_callers(served.m_loop));
+    served.m_peer.write("START pay caller\r\nQUERY last READ 1\r\n");
+    served.m_peer.end_writing();
+    served.run_statements(1);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 2);
+    BOOST_TEST(served.m_peer.is_closed());
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_with_nothing_outstanding_is_disconnected_at_once) {
+    for (const char* const before :
+         {"QUERY begin BEGIN\r\nQUERY write WRITE 1 a\r\n", "QUERY read READ 1\r\n"}) {
+        served_connection served;
+        served.serve_caller();
+        served.m_peer.write(before);
+        served.run_statements(2);
+        served.m_peer.end_writing();
+        (void)served.m_peer.received();
+        BOOST_TEST(served.m_peer.is_closed());
+        BOOST_TEST(served.m_fleet.instance(1).state_dump().at("sessions") == 0);
+    }
+}
--- a/test/support/raw_peer.hpp
+++ b/test/support/raw_peer.hpp
@@ -32,6 +32,9 @@
                       static_cast<ssize_t>(text.size()));
     }
 
+    /// Closes the sending direction; receiving goes on.
+    void end_writing() { BOOST_REQUIRE(shutdown(m_ends[0], SHUT_WR) == 0); }
+
     /// Runs the event loop until nothing is left to do, and returns what was received so far.
     std::string received() {
         std::array<char, 4096> chunk{};
