Tell connections that wait to be accepted why a leaving instance ends

What callers saw: a caller whose connection waited in the accept queue as a leaving instance closed its port met a reset in place of READY or an error.

Cause: the listening socket was closed with connections waiting in its queue; the kernel resets them. The listener now accepts what waits before it closes, and the instance refuses their START as it does others at that time. What remains is a connection whose handshake is not complete: the kernel resets it, and no agreement is possible before it.

Evidence: the new case of gateway/session_endings received a reset before the change ("ERROR BUSY" expected), and passes with it.

--- a/libs/wire/include/anvilmount/wire/tcp_listener.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_listener.hpp
@@ -25,14 +25,19 @@
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
+    /// Accepts the connections that wait and stops listening. Without this, they are reset unheard. One whose
+    /// handshake is not complete is reset all the same.
+    void close();
+
     [[nodiscard]] const endpoint& address() const { return m_address; }
 
 private:
     tcp_listener(reactor& loop, int fd, endpoint address, accept_handler on_accept);
-    void accept_pending();
+    /// Returns whether more connections may be waiting.
+    bool accept_pending();
 
     reactor& m_reactor;
-    int m_fd;
+    int m_fd; ///< -1: closed.
     endpoint m_address;
     accept_handler m_on_accept;
 };
--- a/libs/wire/src/tcp_listener.cpp
+++ b/libs/wire/src/tcp_listener.cpp
@@ -45,7 +45,7 @@
     if (fd < 0 || !bind_and_listen(fd, where)) {
         const std::string reason = std::strerror(errno);
         if (fd >= 0) {
-            close(fd);
+            ::close(fd);
         }
         return fail(result_code::listen_failed, "cannot listen on " + to_string(where) + ": " + reason);
     }
@@ -59,18 +59,32 @@
 }
 
 tcp_listener::~tcp_listener() {
+    if (m_fd >= 0) {
+        m_reactor.unwatch(m_fd);
+        ::close(m_fd);
+    }
+}
+
+void tcp_listener::close() {
+    if (m_fd < 0) {
+        return;
+    }
+    while (accept_pending()) {
+    }
     m_reactor.unwatch(m_fd);
-    close(m_fd);
+    ::close(m_fd);
+    m_fd = -1;
 }
 
-void tcp_listener::accept_pending() {
+bool tcp_listener::accept_pending() {
     for (int count = 0; count < accepts_per_round; ++count) {
         const int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
-            return;
+            return false;
         }
         m_on_accept(fd);
     }
+    return true;
 }
 
 }
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -14,10 +14,17 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace anvilmount;
 using namespace std::chrono_literals;
 using test::raw_peer;
@@ -116,6 +123,43 @@
     }
 };
 
+/// A caller that has connected to `where` and sent START.
+class waiting_caller {
+public:
+    explicit waiting_caller(const endpoint& where) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(where.m_port);
+        inet_pton(AF_INET, where.m_address.c_str(), &address.sin_addr);
+        BOOST_REQUIRE(connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        const std::string start = "START pay caller\r\n";
+        BOOST_REQUIRE(send(m_fd, start.data(), start.size(), 0) == static_cast<ssize_t>(start.size()));
+    }
+    ~waiting_caller() { close(m_fd); }
+    waiting_caller(const waiting_caller&) = delete;
+    waiting_caller& operator=(const waiting_caller&) = delete;
+
+    /// Runs until the connection ends; returns what was received, and "reset" if it was reset.
+    std::string received_to_end() {
+        std::array<char, 4096> chunk{};
+        std::string text;
+        for (;;) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents);
+            const ssize_t size = recv(m_fd, chunk.data(), chunk.size(), MSG_DONTWAIT);
+            if (size > 0) {
+                text.append(chunk.data(), static_cast<std::size_t>(size));
+            } else if (size == 0) {
+                return text;
+            } else if (errno != EAGAIN) {
+                return text + "reset";
+            }
+        }
+    }
+
+private:
+    int m_fd{socket(AF_INET, SOCK_STREAM, 0)};
+};
+
 /// Answers START, and each of the statements before `last`; then closes without an answer.
 std::function<void(forwarding_instance&, tcp_stream&)> closes_at(const std::string& last) {
     return [last](forwarding_instance& site, tcp_stream& stream) {
@@ -389,3 +433,16 @@
         BOOST_TEST(served.m_fleet.instance(1).state_dump().at("sessions") == 0);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_connection_that_waits_to_be_accepted_when_its_port_closes_is_told_why) {
+    served_connection served;
+    auto listener = tcp_listener::listen(served.m_loop.m_loop, test::test_address(40), [&](int fd) {
+        line_protocol::serve_caller(served.m_loop.m_loop, fd, served.m_fleet.instance(1),
+                                    test::unlimited_callers(served.m_loop));
+    });
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(grace);
+    waiting_caller caller(test::test_address(40));
+    listener.value()->close();
+    BOOST_TEST(caller.received_to_end().starts_with("ERROR BUSY"));
+}
