Answer what has arrived on each connection before a process exits

Cause: the process exited with its connections as they were, and the kernel reset those that held bytes nobody had read, answers in transit included. Each open connection is now read a last time, its statements are refused as not run, and it is closed in order.

Evidence: the new case of gateway/session_endings got two READY lines of three with an exit that only closes, and passes with the last look.

--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -51,6 +51,10 @@
     void pause_reading();
     void resume_reading();
 
+    /// Reports what has arrived by now to m_on_bytes, also while reading is paused, without waiting for the
+    /// event loop; at most `limit` bytes.
+    void read_now(std::size_t limit);
+
     /// Enables TCP keepalive: the kernel probes an idle peer and closes the connection about 3 s after the
     /// last data or acknowledgement from it. Without keepalive, a connection whose network path has failed
     /// stays open until something is sent.
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+void tcp_stream::read_now(std::size_t limit) {
+    for (std::size_t read = 0; read < limit && !m_lingering && has_unreported_input() && !m_input_ended;
+         read += read_chunk_size) {
+        read_available();
+    }
+}
+
 bool tcp_stream::has_unreported_input() const {
     char byte = 0;
     return is_open() && (recv(m_fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0 || !would_block());
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -446,3 +446,19 @@
     listener.value()->close();
     BOOST_TEST(caller.received_to_end().starts_with("ERROR BUSY"));
 }
+
+BOOST_AUTO_TEST_CASE(a_statement_that_arrives_before_the_last_look_of_an_exiting_process_is_refused) {
+    served_connection served;
+    const auto limits = test::unlimited_callers(served.m_loop);
+    line_protocol::serve_caller(served.m_loop.m_loop, served.m_peer.served_end(),
+                                served.m_fleet.instance(1), limits);
+    served.m_peer.write("START pay caller\r\n");
+    served.complete_first_statement();
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(grace);
+    BOOST_REQUIRE(served.m_peer.received().find("ERROR") != std::string::npos);
+    served.m_peer.write("QUERY late WRITE 1 a\r\n");
+    BOOST_TEST(limits->close_for_exit() == 1);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
+    BOOST_TEST(served.m_peer.is_closed());
+}
