--- a/test/gateway/caller_limits.cpp
+++ b/test/gateway/caller_limits.cpp
@@ -14,6 +14,7 @@
 struct connection : line_protocol::limited_connection {
     void on_room() override {}
     void close_for(result_code) override {}
+    void close_for_exit() override {}
 };
 
 }
