Refuse what was read of a caller that is closed for a limit

A caller that was closed for a limit got an answer for the statements in service, or forwarded, and one error. Statements that had been read and not handled ended without an answer. In a transaction the error said BUSY, though the transaction was rolled back. What was left to send was destroyed by a reset, also for a caller that reads.

close_for() looked at what had been handed to the session only; lines that wait for their turn were dropped with their buffer. They are now refused like statements that cross the announced end of a session: the error is the first line of the answer and READY completes it. All belong to the caller's transaction if it is in one (ABORTED), else they have not run (BUSY). The buffer of the lines is freed as before. A caller that had left answers unread is reset as before.

--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -8,6 +8,7 @@
 #include "support/raw_peer.hpp"
 #include "support/unlimited_callers.hpp"
 
+#include "anvilmount/observe/metrics.hpp"
 #include "anvilmount/wire/tcp_listener.hpp"
 #include "anvilmount/wire/tcp_stream.hpp"
 
@@ -75,9 +76,13 @@
     std::vector<std::shared_ptr<tcp_stream>> m_streams;
     std::string m_forwarded; ///< What the serving instance received.
     raw_peer m_caller;
+    metrics m_counters;
+    std::shared_ptr<line_protocol::caller_limits> m_limits;
 
     /// `reply` is called with the newest stream whenever bytes were forwarded.
-    explicit forwarding_instance(std::function<void(forwarding_instance&, tcp_stream&)> reply) {
+    explicit forwarding_instance(std::function<void(forwarding_instance&, tcp_stream&)> reply,
+                                 const line_protocol::caller_limit_options& options = {})
+        : m_limits(std::make_shared<line_protocol::caller_limits>(m_loop.m_loop, options, m_counters)) {
         int forwarding = 0;
         for (int number = 1; number <= 12; ++number) {
             auto listener =
@@ -97,7 +102,7 @@
         }
         BOOST_REQUIRE(forwarding > 0);
         line_protocol::serve_caller(m_loop.m_loop, m_caller.served_end(), m_fleet.instance(forwarding),
-                                    test::unlimited_callers(m_loop));
+                                    m_limits);
         m_caller.write("START pay caller\r\n");
         run_until_ready(1);
     }
@@ -269,6 +274,29 @@
     BOOST_TEST(ready_lines(caller.received()) == 2);
 }
 
+BOOST_AUTO_TEST_CASE(statements_that_wait_to_be_forwarded_when_a_limit_closes_their_caller_are_refused) {
+    constexpr int forwarded = 64;
+    constexpr int waiting = 5;
+    forwarding_instance site(
+        [](forwarding_instance& at, tcp_stream& stream) {
+            if (at.m_forwarded.find("QUERY") == std::string::npos) {
+                stream.write("READY I -\r\n");
+            }
+        },
+        {.m_memory_budget = std::size_t{32} << 10U});
+    std::string statements;
+    for (int number = 0; number < forwarded; ++number) {
+        statements += "QUERY forwarded READ 1\r\n";
+    }
+    for (int number = 0; number < waiting; ++number) {
+        statements += "QUERY waiting WRITE 1 " + std::string(std::size_t{8} << 10U, 'x') + "\r\n";
+    }
+    site.m_caller.write(statements);
+    site.run_until_ready(1 + forwarded + waiting);
+    BOOST_TEST(ready_lines(site.m_caller.received()) == 1 + forwarded + waiting);
+    BOOST_TEST(site.m_forwarded.find("waiting") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_ends_its_forwarded_session_gets_no_error) {
     forwarding_instance site(
         [](forwarding_instance&, tcp_stream& stream) { stream.write("READY I -\r\n"); });
