Say that a transaction was rolled back when its session ends with a statement in service

What callers saw: at the end of the grace period, with a statement of a transaction in service, the announced end of the session said BUSY instead of ABORTED, so that a statement that crossed it was told BUSY inside its transaction.

Cause: the state was looked at after the open statements had been answered, which reports the ended session as idle. The session now keeps whether it ended in a transaction. The new case of session_endings fails without the change.

--- a/libs/gateway/include/anvilmount/gateway/caller_session.hpp
+++ b/libs/gateway/include/anvilmount/gateway/caller_session.hpp
@@ -89,6 +89,10 @@
     /// Name of the caller's client account; empty on a public route and without client accounts.
     [[nodiscard]] const std::string& account() const { return m_account; }
     [[nodiscard]] bool is_closed() const { return m_closed; }
+    /// Whether a transaction is open, or was when the session ended.
+    [[nodiscard]] bool is_in_transaction() const {
+        return m_closed ? m_in_transaction_at_end : m_transaction.has_value();
+    }
     /// Statements without an answer, now or when the session ended, and since when the oldest is served.
     [[nodiscard]] std::size_t unanswered() const {
         return m_closed ? m_unanswered_at_end : m_waiting.size();
@@ -186,6 +190,7 @@
     bool m_expects_operation{true};
     bool m_closed{false};
     std::size_t m_unanswered_at_end{0};
+    bool m_in_transaction_at_end{false};
     steady_time m_last_answer_at{};      ///< Time of the last answer, or of opening the session.
     steady_time m_arrived{};             ///< Arrival time of the statement being served.
     log_position m_last_commit;          ///< Log position of the session's newest commit.
--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -641,6 +641,7 @@
     }
     m_closed = true;
     m_unanswered_at_end = m_waiting.size();
+    m_in_transaction_at_end = m_transaction.has_value();
     const bool is_served = m_busy;
     answer_unfinished();
     m_disconnected = true;
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -237,6 +237,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_end_of_a_session_whose_transaction_is_cut_short_says_that_it_was_rolled_back) {
+    served_connection served;
+    served.serve_caller();
+    allow_long_statements(served.m_fleet);
+    served.m_peer.write("QUERY begin BEGIN\r\n");
+    served.run_for(100ms);
+    served.m_fleet.m_upstreams.at("orders-1").m_work_time = 60000ms;
+    served.m_peer.write("QUERY write WRITE 1 a\r\n");
+    served.run_for(100ms);
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(grace);
+    const std::string received = served.m_peer.received();
+    const std::string announcement = received.substr(received.rfind("ERROR"));
+    BOOST_TEST(announcement.starts_with("ERROR ABORTED"));
+}
+
 BOOST_AUTO_TEST_CASE(statements_that_wait_or_run_when_the_grace_period_ends_are_answered) {
     test::gateway_fleet fleet(1);
     allow_long_statements(fleet);
