Run the COMMIT of leaving before its errors are read

correctness/leaving, what_is_unfinished_when_the_time_to_leave_is_over_gets_an_error, failed at leaving.cpp(215): "check commit_error.find("1306 transaction_lost") != std::string::npos has failed".

Cause: the test. run("COMMIT"), notices() and connect_error() were operands of one sum, and C++ leaves the order in which they are evaluated open. GCC 12 on x86-64 calls connect_error() first, before the COMMIT, and so reads an error that is not there yet. libpq 15 returns the last of two results ("server closed the connection unexpectedly") from PQexec, and keeps the FATAL 1306 before it only for PQerrorMessage(). The test was written on arm64; how GCC orders the operands there was not checked.

The COMMIT now runs in a statement of its own; the check is the same, and prints the error.

a_commit_that_crosses_the_end_of_the_time_to_leave_is_answered_truly is new: the instance is stopped, and finds ten COMMITs (at the home and from another instance) and the end of its time together. Each must be COMMIT with the row there, 1306 without it, or 1302.

--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -211,12 +211,66 @@
     }
     BOOST_TEST(first_error(waiting).find("1307 instance_leaving (not run)") != std::string::npos);
     BOOST_TEST(first_error(waiting_elsewhere).empty());
-    const std::string commit_error = open.run("COMMIT").m_error + open.notices() + open.connect_error();
-    BOOST_TEST(commit_error.find("1306 transaction_lost") != std::string::npos);
+    // Run before its errors are read: the operands of + are evaluated in any order.
+    const pg_answer commit = open.run("COMMIT");
+    const std::string commit_error = commit.m_error + open.notices() + open.connect_error();
+    BOOST_TEST_CONTEXT(commit_error) {
+        BOOST_TEST(commit_error.find("1306 transaction_lost") != std::string::npos);
+    }
     BOOST_TEST(all.instance(home).wait() == 0);
     BOOST_TEST(pg_session(all.caller(1 - home), "orders").run("SELECT id FROM t").value() == "3");
 }
 
+/// Guards against a COMMIT that crosses the end of the time for leaving and is answered wrongly or not at
+/// all.
+BOOST_AUTO_TEST_CASE(a_commit_that_crosses_the_end_of_the_time_to_leave_is_answered_truly) {
+    fleet all({.m_instances = 2, .m_upstreams = 1, .m_instance_settings = {"--leave_ms", "1000"}});
+    constexpr int transactions = 10;
+    const int home = all.home_of("orders-1");
+    BOOST_REQUIRE(pg_session(all.caller(home), "orders").run("CREATE TABLE t (id int primary key)").m_good);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int number = 0; number < transactions; ++number) {
+        callers.push_back(std::make_unique<raw_caller>(all.caller(number % 2 == 0 ? home : 1 - home)));
+        raw_caller& caller = *callers.back();
+        caller.start("orders");
+        BOOST_REQUIRE(caller.read_to('Z'));
+        for (const std::string& sql :
+             {std::string("BEGIN"), "INSERT INTO t VALUES (" + std::to_string(number) + ")"}) {
+            caller.query(sql);
+            BOOST_REQUIRE(caller.read_to('C'));
+            BOOST_REQUIRE(caller.read_to('Z'));
+        }
+    }
+    // The instance finds each COMMIT and the end of its time together.
+    all.instance(home).signal(SIGTERM);
+    std::this_thread::sleep_for(300ms);
+    all.instance(home).signal(SIGSTOP);
+    for (const auto& caller : callers) {
+        caller->query("COMMIT");
+    }
+    std::this_thread::sleep_for(1000ms);
+    all.instance(home).signal(SIGCONT);
+    std::vector<char> answers;
+    std::vector<std::string> errors;
+    for (const auto& caller : callers) {
+        answers.push_back(caller->read_to_one_of("CE"));
+        errors.push_back(caller->last_body());
+    }
+    BOOST_TEST(all.instance(home).wait() == 0);
+    pg_session after(all.caller(1 - home), "orders");
+    for (int number = 0; number < transactions; ++number) {
+        const auto index = static_cast<std::size_t>(number);
+        const std::string found =
+            after.run("SELECT count(*) FROM t WHERE id = " + std::to_string(number)).value();
+        const bool is_lost = errors[index].find("1306 transaction_lost") != std::string::npos;
+        const bool is_unknown = errors[index].find("1302 outcome_unknown") != std::string::npos;
+        BOOST_TEST_CONTEXT("caller " << number << ", " << errors[index] << ", found " << found) {
+            BOOST_TEST((answers[index] == 'C' || (answers[index] == 'E' && (is_lost || is_unknown))));
+            BOOST_TEST((is_unknown || found == (answers[index] == 'C' ? "1" : "0")));
+        }
+    }
+}
+
 /// Guards against connections that end with a statement unanswered and leave no trace of the cause.
 BOOST_AUTO_TEST_CASE(a_statement_whose_caller_disconnects_is_counted_with_its_cause) {
     fleet all({.m_instances = 1, .m_upstreams = 1});
--- a/test/support/raw_caller.hpp
+++ b/test/support/raw_caller.hpp
@@ -14,6 +14,7 @@
 #include <cstring>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <sys/time.h>
 
 namespace test {
@@ -52,23 +53,26 @@
     }
 
     /// Reads messages up to one of this type; false if the connection ends before.
-    bool read_to(char type) {
+    bool read_to(char type) { return read_to_one_of({&type, 1}) == type; }
+
+    /// Reads messages up to one of these types, and returns its type; 0 if the connection ends before.
+    char read_to_one_of(std::string_view types) {
         constexpr std::size_t head_size = 5;
         while (true) {
             if (!fill(head_size)) {
-                return false;
+                return 0;
             }
             std::uint32_t length = 0;
             std::memcpy(&length, m_received.data() + m_used + 1, sizeof length);
             const std::size_t size = ntohl(length) + 1;
             if (!fill(size)) {
-                return false;
+                return 0;
             }
             const char got = m_received[m_used];
             m_last_body = m_received.substr(m_used + head_size, size - head_size);
             m_used += size;
-            if (got == type) {
-                return true;
+            if (types.find(got) != std::string_view::npos) {
+                return got;
             }
         }
     }
