Answer callers that close their sending direction after a statement

Callers saw: a caller that sends a statement and then closes its sending direction (as `nc -N` or a script does) was disconnected without an answer.

Cause: the end of a caller's bytes was taken for the end of the caller; the session closed at once, with its channel. The two look the same until something is sent: the system of a caller that has gone answers with a reset.

A stream can now report that its peer has finished (m_on_finished). The session answers what it has got, sends what is unsent, and closes. What the caller could only end by sending more (a transaction, a request without Sync) ends with it. So that callers that have gone are still noticed while their statements wait, a ParameterStatus with the value that the caller has goes out at once; the protocol allows it at any time.

caller_protocol, a_caller_that_finishes_sending_after_its_query_gets_the_answer, before: "check slow.read_to('C') has failed", "check long_answer.read_to('D') has failed" and 18 more checks, at the home and at another instance. a_statement_that_waits_is_not_run_when_its_caller_has_gone passes before and after, and guards what the change could have broken.

--- a/libs/node/src/caller_session.cpp
+++ b/libs/node/src/caller_session.cpp
@@ -50,12 +50,12 @@
                                   .m_on_bytes = [this](std::string_view bytes) { on_bytes(bytes); },
                                   .m_on_drained = [this] { on_drained(); },
                                   .m_on_closed =
-                                      [this](close_reason reason) {
-                                          report_unanswered(reason == close_reason::by_peer
-                                                                ? "caller_closed"
-                                                                : "caller_unreachable");
+                                      [this](close_reason) {
+                                          report_unanswered(m_caller_finished ? "caller_closed"
+                                                                              : "caller_unreachable");
                                           close();
-                                      }});
+                                      },
+                                  .m_on_finished = [this] { on_caller_finished(); }});
     m_timer = m_context.m_shard.loop().after(m_context.m_options.m_startup_timeout, [this] {
         close_with_error({.m_code = result_code::startup_timeout,
                           .m_message = "the connection did not start a session in time"});
@@ -76,6 +76,21 @@
     process_input();
 }
 
+void caller_session::on_caller_finished() {
+    const auto keep_alive = shared_from_this();
+    m_caller_finished = true;
+    if (m_phase == phase::ending) {
+        close_when_sent();
+    } else if (m_phase != phase::running) {
+        end();
+    } else if (m_boundary.is_between_messages()) {
+        // A caller may get this message at any time, and one that has gone answers it with a reset.
+        std::string out;
+        append_parameter_status(out, "server_version", m_context.m_options.m_server_version);
+        m_stream->write(out);
+    }
+}
+
 void caller_session::process_input() {
     const auto broken = failure_of([&]() -> result<void> {
         while (m_phase == phase::startup) {
@@ -98,6 +113,10 @@
         close_with_error(*broken);
         return;
     }
+    if (m_caller_finished && m_phase == phase::ready) {
+        end();
+        return;
+    }
     if (m_phase == phase::running && m_input.size() > max_pending_input_bytes &&
         !m_stream->is_reading_paused()) {
         m_stream->pause_reading();
@@ -496,6 +515,9 @@
     if (m_channel && m_uncredited_bytes > 0) {
         send_credit(0);
     }
+    if (m_caller_finished && m_phase == phase::ending) {
+        close_when_sent();
+    }
 }
 
 void caller_session::record_ready(const peer::ready& ready, const log_position& at) {
@@ -780,6 +802,16 @@
     m_stream->finish();
     m_stream->resume_reading();
     await_close(max_ending_time);
+    if (m_caller_finished) {
+        close_when_sent();
+    }
+}
+
+void caller_session::close_when_sent() {
+    // The kernel sends what it has accepted, and there is nothing unread that would reset the connection.
+    if (m_stream->unsent_bytes() == 0) {
+        close();
+    }
 }
 
 void caller_session::report_unanswered(const std::string& cause) {
--- a/libs/node/src/caller_session.hpp
+++ b/libs/node/src/caller_session.hpp
@@ -47,6 +47,9 @@
 /// the caller closes. Until then the caller may be sending a statement, which was not read and has not run;
 /// the FATAL error that the caller finds is its answer. Closing a socket with such bytes unread resets the
 /// connection, and the caller loses the error, and what it has not read of the answers before.
+///
+/// A caller may close its sending direction and wait for its answers. What it sees of a caller that has
+/// gone altogether looks the same, until something is sent to it: the caller's system answers with a reset.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     using closed_handler = std::function<void(caller_session*)>;
@@ -96,6 +99,8 @@
     };
 
     void on_bytes(std::string_view bytes);
+    /// The caller sends nothing more: the session ends once what it has sent is answered.
+    void on_caller_finished();
     void process_input();
     result<bool> process_startup();
     result<void> begin_session(std::string_view body);
@@ -137,6 +142,8 @@
     void end();
     /// Logs and counts a session that ends for `cause` with a request that has no complete answer.
     void report_unanswered(const std::string& cause);
+    /// Closes the connection of a caller that has finished, unless there are bytes left to send.
+    void close_when_sent();
     /// Closes the connection if the caller does not.
     void await_close(milliseconds time_left);
     void close();
@@ -153,8 +160,9 @@
     bool m_has_written{false};  ///< A statement other than a read ran since the last commit.
     bool m_leaving{false};
     bool m_has_discarded_input{false};
-    bool m_tries_again{true};     ///< Failed attempts may be repeated.
-    bool m_cancel_pending{false}; ///< A cancel request arrived between two attempts.
+    bool m_caller_finished{false}; ///< The caller has closed at least its sending direction.
+    bool m_tries_again{true};      ///< Failed attempts may be repeated.
+    bool m_cancel_pending{false};  ///< A cancel request arrived between two attempts.
     backend_key m_key;
     std::uint64_t m_caller_id{0};
     pg_message_buffer m_input;
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -31,6 +31,9 @@
         std::function<void(std::string_view bytes)> m_on_bytes{};
         std::function<void()> m_on_drained{}; ///< The kernel has accepted all written bytes.
         std::function<void(close_reason)> m_on_closed{};
+        /// The peer sends nothing more; it may still read, or may have gone. Without this handler, the
+        /// stream closes.
+        std::function<void()> m_on_finished{};
     };
 
     /// Takes ownership of a connected, non-blocking descriptor.
@@ -89,6 +92,7 @@
 private:
     tcp_stream(reactor& loop, int fd, handlers callbacks);
 
+    [[nodiscard]] bool is_reading() const { return !m_reading_paused && !m_peer_finished; }
     void start(bool connecting);
     void on_ready(std::uint32_t events);
     void read_available();
@@ -106,6 +110,7 @@
     std::uint32_t m_watched_events{0}; ///< Event mask last passed to the reactor.
     bool m_connecting{false};
     bool m_reading_paused{false};
+    bool m_peer_finished{false}; ///< The end of the peer's bytes was reported by m_on_finished.
     bool m_connect_refused{false};
     bool m_close_after_flush{false};
     bool m_finishing{false};
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -121,7 +121,7 @@
     if ((events & EPOLLOUT) != 0 && !flush()) {
         return;
     }
-    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_reading_paused) {
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && is_reading()) {
         read_available();
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         fail(close_reason::by_network);
@@ -134,6 +134,10 @@
     if (received > 0) {
         m_reactor.traffic().m_received += static_cast<std::uint64_t>(received);
         m_handlers.m_on_bytes({chunk.data(), static_cast<std::size_t>(received)});
+    } else if (received == 0 && m_handlers.m_on_finished) {
+        m_peer_finished = true;
+        update_events();
+        m_handlers.m_on_finished();
     } else if (received == 0) {
         fail(close_reason::by_peer);
     } else if (!would_block()) {
@@ -233,7 +237,7 @@
     if (!is_open() || m_connecting) {
         return;
     }
-    const std::uint32_t wanted = (m_reading_paused ? 0U : EPOLLIN) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
+    const std::uint32_t wanted = (is_reading() ? EPOLLIN : 0U) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
     if (wanted != m_watched_events) {
         m_watched_events = wanted;
         m_reactor.set_events(m_fd, wanted);
@@ -305,7 +309,7 @@
     if (m_fd < 0) {
         return;
     }
-    if (m_watched_events != 0 || m_connecting || m_reading_paused) {
+    if (m_watched_events != 0 || m_connecting || !is_reading()) {
         m_reactor.unwatch(m_fd);
     }
     ::close(m_fd);
--- a/test/correctness/caller_protocol.cpp
+++ b/test/correctness/caller_protocol.cpp
@@ -4,13 +4,16 @@
 /// another instance on different paths.
 #include "load/pg_session.hpp"
 #include "support/fleet.hpp"
+#include "support/raw_caller.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <thread>
 
 using standin::pg_session;
+using test::eventually;
 using test::fleet;
+using test::raw_caller;
 
 namespace {
 
@@ -161,3 +164,84 @@
     BOOST_TEST(session.token().starts_with("orders/1:"));
     BOOST_TEST(session.run("SHOW anvilmount.session_token").value() == session.token());
 }
+
+/// Guards against statements without an answer because their caller has nothing more to send.
+BOOST_FIXTURE_TEST_CASE(a_caller_that_finishes_sending_after_its_query_gets_the_answer, two_instances) {
+    constexpr std::size_t large = 8000000;
+    for (const std::string& address : {home_address(), remote_address()}) {
+        BOOST_TEST_CONTEXT(address) {
+            raw_caller slow(address);
+            slow.start("orders");
+            slow.query("SELECT pg_sleep(0.3)");
+            slow.query("SELECT 2");
+            slow.finish_sending();
+            BOOST_TEST(slow.read_to('Z')); // Of the startup.
+            BOOST_TEST(slow.read_to('C'));
+            BOOST_TEST(slow.read_to('Z'));
+            BOOST_TEST(slow.read_to('D'));
+            BOOST_TEST(slow.last_body().back() == '2');
+            BOOST_TEST(slow.read_to('Z'));
+            BOOST_TEST(slow.is_closed_in_order());
+
+            raw_caller long_answer(address);
+            long_answer.start("orders");
+            long_answer.query("SELECT repeat('x', " + std::to_string(large) + ")");
+            long_answer.finish_sending();
+            BOOST_TEST(long_answer.read_to('D'));
+            BOOST_TEST(long_answer.last_body().size() > large);
+            BOOST_TEST(long_answer.read_to('Z'));
+            BOOST_TEST(long_answer.is_closed_in_order());
+
+            // What is unfinished ends with its caller: it can't send the rest.
+            raw_caller in_transaction(address);
+            in_transaction.start("orders");
+            in_transaction.query("BEGIN");
+            in_transaction.finish_sending();
+            BOOST_TEST(in_transaction.read_to('C'));
+            BOOST_TEST(in_transaction.read_to('Z'));
+            BOOST_TEST(in_transaction.is_closed_in_order());
+        }
+    }
+    BOOST_TEST(eventually([&] {
+        const nlohmann::json dump = m_fleet.dump(m_home);
+        for (const auto& shard : dump["shards"]) {
+            for (const auto& home : shard["homes"]) {
+                if (home["channels"] != 0) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }));
+}
+
+/// Guards against statements that are run for callers that have gone while they waited.
+BOOST_AUTO_TEST_CASE(a_statement_that_waits_is_not_run_when_its_caller_has_gone) {
+    fleet all({.m_instances = 1, .m_upstreams = 1, .m_slots = 1});
+    const auto waiting = [&] {
+        int sum = 0;
+        const nlohmann::json dump = all.dump();
+        for (const auto& shard : dump["shards"]) {
+            for (const auto& home : shard["homes"]) {
+                for (const auto& rank : home["ranks"]) {
+                    sum += rank["waiting"].get<int>();
+                }
+            }
+        }
+        return sum;
+    };
+    pg_session first(all.caller(), "orders");
+    BOOST_REQUIRE(first.run("CREATE TABLE t (id int primary key)").m_good);
+    BOOST_REQUIRE(PQsendQuery(first.native(), "SELECT pg_sleep(2)") == 1);
+    {
+        raw_caller gone(all.caller());
+        gone.start("orders");
+        BOOST_REQUIRE(gone.read_to('Z'));
+        gone.query("INSERT INTO t VALUES (1)");
+        BOOST_REQUIRE(eventually([&] { return waiting() == 1; }));
+    }
+    BOOST_TEST(eventually([&] { return waiting() == 0; }));
+    PQclear(PQgetResult(first.native()));
+    PQclear(PQgetResult(first.native()));
+    BOOST_TEST(first.run("SELECT count(*) FROM t").value() == "0");
+}
--- a/test/support/raw_caller.hpp
+++ b/test/support/raw_caller.hpp
@@ -52,6 +52,9 @@
         write("Q" + number(static_cast<std::uint32_t>(sql.size()) + 5) + sql + zero());
     }
 
+    /// Closes the sending direction; receiving goes on.
+    void finish_sending() const { shutdown(m_fd, SHUT_WR); }
+
     /// Reads messages up to one of this type; false if the connection ends before.
     bool read_to(char type) { return read_to_one_of({&type, 1}) == type; }
 
