Accept the connections that wait when a leaving instance closes its listeners

Callers saw: callers that had connected just before the instance left were reset without a word.

Cause: the kernel connects callers ahead of accept(); closing a listener resets those in its queue. anvilmountd closes its listeners first when it leaves, and had accepted at most 64 connections for each turn of the loop.

A leaving front now accepts what waits, closes the listener, and the sessions refuse their callers with 1307 once the startup message is there. Listeners for other instances do the same, and their peers get GOAWAY; a peer took a reset for "not accepted" before and tried again, so no outcome was told wrongly there. A connection that is completed between the last accept() and close(), some microseconds, is still reset.

leaving, a_caller_that_waits_to_be_accepted_by_a_leaving_instance_is_refused, before: "check refused == waiting has failed [192 != 600]". peer_goaway, a_peer_that_waits_to_be_accepted_gets_the_goaway, before: "check server->connection_count() == waiting has failed [0 != 100]".

--- a/libs/node/src/front.cpp
+++ b/libs/node/src/front.cpp
@@ -26,6 +26,7 @@
 
 void front::leave() {
     m_leaving = true;
+    m_listener->accept_waiting();
     m_listener.reset();
     for (const auto& session : sessions()) {
         session->leave();
--- a/libs/wire/include/anvilmount/wire/tcp_listener.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_listener.hpp
@@ -27,9 +27,12 @@
 
     [[nodiscard]] const endpoint& address() const { return m_address; }
 
+    /// Accepts all connections that wait now. Closing the listener resets those that still wait.
+    void accept_waiting();
+
 private:
     tcp_listener(reactor& loop, int fd, endpoint address, accept_handler on_accept);
-    void accept_pending();
+    void accept_up_to(int limit);
 
     reactor& m_reactor;
     int m_fd;
--- a/libs/wire/src/http2_server.cpp
+++ b/libs/wire/src/http2_server.cpp
@@ -15,6 +15,7 @@
 }
 
 void http2_server::stop_accepting() {
+    m_listener->accept_waiting();
     m_listener.reset();
     for (const auto& connection : m_connections) {
         connection->send_goaway();
--- a/libs/wire/src/tcp_listener.cpp
+++ b/libs/wire/src/tcp_listener.cpp
@@ -55,7 +55,7 @@
 
 tcp_listener::tcp_listener(reactor& loop, int fd, endpoint address, accept_handler on_accept)
     : m_reactor(loop), m_fd(fd), m_address(std::move(address)), m_on_accept(std::move(on_accept)) {
-    m_reactor.watch(m_fd, EPOLLIN, [this](std::uint32_t) { accept_pending(); });
+    m_reactor.watch(m_fd, EPOLLIN, [this](std::uint32_t) { accept_up_to(accepts_per_round); });
 }
 
 tcp_listener::~tcp_listener() {
@@ -63,8 +63,13 @@
     close(m_fd);
 }
 
-void tcp_listener::accept_pending() {
-    for (int count = 0; count < accepts_per_round; ++count) {
+void tcp_listener::accept_waiting() {
+    // Bounded, since others may connect meanwhile.
+    accept_up_to(backlog);
+}
+
+void tcp_listener::accept_up_to(int limit) {
+    for (int count = 0; count < limit; ++count) {
         const int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
             return;
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -271,6 +271,32 @@
     }
 }
 
+/// Guards against callers that are reset because they wait to be accepted when the instance stops
+/// accepting.
+BOOST_AUTO_TEST_CASE(a_caller_that_waits_to_be_accepted_by_a_leaving_instance_is_refused) {
+    fleet all({.m_instances = 1, .m_upstreams = 1});
+    constexpr int waiting = 600; // More than the shards accept at once.
+    all.instance(0).signal(SIGSTOP);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int number = 0; number < waiting; ++number) {
+        callers.push_back(std::make_unique<raw_caller>(all.caller()));
+        callers.back()->start("orders");
+    }
+    all.instance(0).signal(SIGTERM);
+    all.instance(0).signal(SIGCONT);
+    int refused = 0;
+    for (const auto& caller : callers) {
+        refused += caller->read_to('E') &&
+                           caller->last_body().find("1307 instance_leaving") != std::string::npos &&
+                           caller->is_closed_in_order()
+                       ? 1
+                       : 0;
+    }
+    BOOST_TEST(refused == waiting);
+    callers.clear();
+    BOOST_TEST(all.instance(0).wait() == 0);
+}
+
 /// Guards against connections that end with a statement unanswered and leave no trace of the cause.
 BOOST_AUTO_TEST_CASE(a_statement_whose_caller_disconnects_is_counted_with_its_cause) {
     fleet all({.m_instances = 1, .m_upstreams = 1});
--- a/test/correctness/peer_goaway.cpp
+++ b/test/correctness/peer_goaway.cpp
@@ -1,9 +1,11 @@
 /// \file peer_goaway.cpp
 /// Checks the announcement with which a leaving instance ends its connections from other instances.
 #include "support/event_loop.hpp"
+#include "support/raw_caller.hpp"
 #include "support/raw_peer.hpp"
 
 #include "anvilmount/wire/http2_connection.hpp"
+#include "anvilmount/wire/http2_server.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -99,3 +101,20 @@
     }
     BOOST_TEST(served.size() == (last_stream + 1) / 2);
 }
+
+/// Guards against peers that are reset, instead of sent on, because they wait to be accepted.
+BOOST_AUTO_TEST_CASE(a_peer_that_waits_to_be_accepted_gets_the_goaway) {
+    event_loop loop;
+    constexpr std::size_t waiting = 100;
+    auto listening = value_or_failure([&] {
+        return http2_server::listen(loop.m_loop, test_address(0),
+                                    [](const std::shared_ptr<http2_stream>&) {});
+    });
+    const auto& server = std::get<0>(listening);
+    std::vector<std::unique_ptr<::test::raw_caller>> peers;
+    for (std::size_t count = 0; count < waiting; ++count) {
+        peers.push_back(std::make_unique<::test::raw_caller>(to_string(server->address())));
+    }
+    server->stop_accepting();
+    BOOST_TEST(server->connection_count() == waiting);
+}
