Look at a connection to an upstream before a statement is sent on it

Callers saw: a write ended with 1302 outcome_unknown, and a COMMIT too, although the upstream had closed the connection before the statement was sent. The write would have been served on another connection; the transaction was surely rolled back.

Cause: the end of a connection that has arrived is noticed when the event loop comes to it. A statement that gets a slot before, as after an answer of another connection, was sent on it.

The home now reads what has arrived before it takes an idle connection or goes on with a transaction, if statements wait: an ended idle connection is dropped and the next one looked at; an ended transaction is told 1306. An upstream's FATAL counts as the end, also before the connection closes. It costs one recv() for each statement. A close that arrives after the statement has left remains 1302, since it may have been read.

relay_faults, a_write_is_not_sent_on_a_connection_that_has_ended and a_commit_is_not_sent_on_a_connection_that_has_ended (the instance is stopped while an answer and the ends of the connections arrive), before: "ERROR: 1302 outcome_unknown: the connection to the upstream ended before the answer: the connection to the upstream broke" where the write was to succeed and the COMMIT to be told 1306.

--- a/libs/node/src/upstream_connection.cpp
+++ b/libs/node/src/upstream_connection.cpp
@@ -48,6 +48,13 @@
     return connection;
 }
 
+void upstream_connection::check_ended() {
+    m_stream->read_arrived();
+    if (!m_fatal_error.empty()) {
+        close_with_failure({.m_code = result_code::upstream_unavailable, .m_message = m_fatal_error});
+    }
+}
+
 bool upstream_connection::has_too_many_statements() const {
     return m_prepared.size() > max_prepared_statements;
 }
--- a/libs/node/src/upstream_connection.hpp
+++ b/libs/node/src/upstream_connection.hpp
@@ -53,6 +53,10 @@
     /// sequence without a Sync that the batch continues.
     void run(const peer::request_batch& batch);
 
+    /// Finds out whether the upstream has ended the connection by now. If so, m_on_lost is called; what is
+    /// sent on it after that would not be known to have run or not.
+    void check_ended();
+
     void pause_reading() { m_stream->pause_reading(); }
     void resume_reading() { m_stream->resume_reading(); }
     void close();
--- a/libs/node/src/upstream_home.cpp
+++ b/libs/node/src/upstream_home.cpp
@@ -320,14 +320,27 @@
 }
 
 void upstream_home::start_admitted() {
+    drop_ended_idle();
     while (const auto ticket = m_admission.next(!m_idle.empty())) {
         const auto known = m_channels.find(ticket->m_id);
         internal_check(known != m_channels.end(), "each admitted ticket has an open channel");
-        run_admitted(known->second);
+        const channel_ptr channel = known->second; // The channel may end.
+        run_admitted(channel);
+        drop_ended_idle();
     }
     open_connections();
 }
 
+void upstream_home::drop_ended_idle() {
+    while (m_admission.waiting() > 0 && !m_idle.empty()) {
+        const auto connection = m_idle.back();
+        connection->check_ended();
+        if (connection->is_open()) {
+            return;
+        }
+    }
+}
+
 void upstream_home::open_connections() {
     const int count = m_pool.connections_to_open(m_admission.connections_needed(), reactor::now());
     for (int opened = 0; opened < count; ++opened) {
@@ -386,6 +399,13 @@
         m_idle.pop_back();
         m_pool.record_acquired();
         channel->m_connection->set_handlers(running_handlers(channel));
+    } else {
+        channel->m_stage = home_channel::stage::in_transaction;
+        channel->m_connection->check_ended();
+        if (channel->m_stage == home_channel::stage::ended) {
+            m_admission.release(channel->m_open_request.rank());
+            return;
+        }
     }
     run_batch(channel);
 }
--- a/libs/node/src/upstream_home.hpp
+++ b/libs/node/src/upstream_home.hpp
@@ -75,6 +75,8 @@
     /// Runs the queued requests that admission lets run, and opens the connections that others need.
     void start_admitted();
     void open_connections();
+    /// Removes connections that have ended from the end of m_idle where the next one is taken.
+    void drop_ended_idle();
     /// Takes an idle connection unless the channel has one, and runs the batch.
     void run_admitted(const channel_ptr& channel);
     void run_batch(const channel_ptr& channel);
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -48,6 +48,9 @@
 
     void set_handlers(handlers callbacks) { m_handlers = std::move(callbacks); }
     void write(std::string_view bytes);
+    /// Passes on what has arrived by now, instead of leaving it to the event loop. Handlers may close the
+    /// stream.
+    void read_arrived();
     void pause_reading();
     void resume_reading();
 
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -145,6 +145,13 @@
     }
 }
 
+void tcp_stream::read_arrived() {
+    const auto keep_alive = shared_from_this();
+    while (!m_connecting && is_reading() && has_unreported_input()) {
+        read_available();
+    }
+}
+
 bool tcp_stream::has_unreported_input() const {
     char byte = 0;
     return is_open() && (recv(m_fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0 || !would_block());
--- a/test/correctness/relay_faults.cpp
+++ b/test/correctness/relay_faults.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <thread>
 
 using namespace std::chrono_literals;
@@ -31,6 +32,46 @@
     {"connections reset and refused", R"({"refuse":true})", R"({"refuse":false})"},
 };
 
+/// Returns how many statements of the first instance are "waiting" or "running" at a home.
+int statements(const fleet& all, const char* what) {
+    int sum = 0;
+    const nlohmann::json dump = all.dump();
+    for (const auto& shard : dump["shards"]) {
+        for (const auto& home : shard["homes"]) {
+            for (const auto& rank : home["ranks"]) {
+                sum += rank[what].get<int>();
+            }
+        }
+    }
+    return sum;
+}
+
+/// Sends `sql`, so that the first instance of `all`, which has one slot, finds at once that the slot is
+/// free for it and that the upstream has closed all connections. Returns the error, if any.
+std::string error_after_connections_ended(fleet& all, standin::pg_session& session,
+                                          const std::string& sql) {
+    standin::pg_session read(all.caller(), "orders");
+    BOOST_REQUIRE(PQsendQuery(read.native(), "SELECT pg_sleep(1)") == 1);
+    BOOST_REQUIRE(test::eventually([&] { return statements(all, "running") == 1; }));
+    BOOST_REQUIRE(PQsendQuery(session.native(), sql.c_str()) == 1);
+    BOOST_REQUIRE(test::eventually([&] { return statements(all, "waiting") == 1; }));
+    all.instance(0).signal(SIGSTOP);
+    std::this_thread::sleep_for(1500ms);
+    all.relay_fault(0, R"({"cut":true})");
+    all.relay_fault(0, R"({"cut":false})");
+    all.instance(0).signal(SIGCONT);
+    PGresult* read_result = PQgetResult(read.native());
+    BOOST_TEST(PQresultStatus(read_result) == PGRES_TUPLES_OK);
+    PQclear(read_result);
+    PGresult* result = PQgetResult(session.native());
+    std::string error = PQresultErrorMessage(result);
+    PQclear(result);
+    while ((result = PQgetResult(session.native())) != nullptr) {
+        PQclear(result);
+    }
+    return error;
+}
+
 std::vector<std::string> caller_addresses(const fleet& all) {
     return {all.caller(0), all.caller(1), all.caller(2)};
 }
@@ -132,3 +173,26 @@
     PQclear(write_result);
     BOOST_TEST(setup.run("SELECT count(*) FROM t").value() == "1");
 }
+
+/// Guards against writes that are sent on a connection which the upstream has closed, and end as unknown.
+BOOST_AUTO_TEST_CASE(a_write_is_not_sent_on_a_connection_that_has_ended) {
+    fleet all({.m_instances = 1, .m_upstreams = 1, .m_slots = 1, .m_relays = true});
+    standin::pg_session session(all.caller(), "orders");
+    BOOST_REQUIRE(session.run("CREATE TABLE t (id int primary key)").m_good);
+    BOOST_TEST(error_after_connections_ended(all, session, "INSERT INTO t VALUES (1)") == "");
+    BOOST_TEST(session.run("SELECT count(*) FROM t").value() == "1");
+}
+
+/// Guards against a COMMIT that ends as unknown although its transaction had ended before it was sent.
+BOOST_AUTO_TEST_CASE(a_commit_is_not_sent_on_a_connection_that_has_ended) {
+    fleet all({.m_instances = 1, .m_upstreams = 1, .m_slots = 1, .m_relays = true});
+    standin::pg_session session(all.caller(), "orders");
+    BOOST_REQUIRE(session.run("CREATE TABLE t (id int primary key)").m_good);
+    BOOST_REQUIRE(session.run("BEGIN").m_good);
+    BOOST_REQUIRE(session.run("INSERT INTO t VALUES (1)").m_good);
+    const std::string error = error_after_connections_ended(all, session, "COMMIT");
+    BOOST_TEST_CONTEXT(error) {
+        BOOST_TEST(error.find("1306 transaction_lost") != std::string::npos);
+    }
+    BOOST_TEST(session.run("SELECT count(*) FROM t").value() == "0");
+}
