Report a request that never left for another instance as not run

Callers saw: a write ended with 1302 outcome_unknown when the instance that serves its upstream had gone before the write was sent to it.

A stream that was opened on an HTTP/2 connection whose end had arrived was sent, or failed as broken without having been sent: both meant "may have run".

The connection now looks at what has arrived before it sends the headers of a new stream, and a stream whose headers were never sent ends as refused. Its request is tried again.

caller_protocol, a_write_is_not_sent_to_an_instance_that_has_gone, before: "check answer == 'C' has failed ['E' != 'C']", "1302 outcome_unknown: the instance that ran the request went away before the answer".

--- a/libs/wire/include/anvilmount/wire/http2_connection.hpp
+++ b/libs/wire/include/anvilmount/wire/http2_connection.hpp
@@ -29,7 +29,7 @@
 /// How a stream ended.
 enum class stream_end {
     clean,   ///< Completed without an error.
-    refused, ///< The remote side did not process the stream, so the request had no effect.
+    refused, ///< The remote side did not process the stream, or never got it: the request had no effect.
     broken,  ///< Reset or disconnected; the request may have had an effect.
 };
 
@@ -130,12 +130,15 @@
     void schedule_flush();
     void flush();
     void fail_streams();
+    /// Whether a stream that this end opened has not been sent yet, not even its headers.
+    [[nodiscard]] bool is_unsent(std::int32_t id) const;
 
     reactor& m_reactor;
     handlers m_handlers;
     std::shared_ptr<tcp_stream> m_stream;
     nghttp2_session* m_session{nullptr};
     std::map<std::int32_t, std::shared_ptr<http2_stream>> m_streams;
+    std::int32_t m_last_sent_stream{0}; ///< The last one whose headers were sent.
     bool m_flush_pending{false};
     bool m_ping_unanswered{false};
     bool m_can_send{false};        ///< A client waits for the server's first bytes: they tell a connection
--- a/libs/wire/src/http2_connection.cpp
+++ b/libs/wire/src/http2_connection.cpp
@@ -109,6 +109,13 @@
         return 0;
     }
 
+    static int on_frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* user) {
+        if (frame->hd.type == NGHTTP2_HEADERS) {
+            self(user).m_last_sent_stream = std::max(self(user).m_last_sent_stream, frame->hd.stream_id);
+        }
+        return 0;
+    }
+
     static int on_stream_close(nghttp2_session*, std::int32_t id, std::uint32_t error, void* user) {
         const auto stream = find_stream(user, id);
         if (!stream) {
@@ -150,6 +157,7 @@
         nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
         nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
         nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, on_data);
+        nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, on_frame_sent);
         nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_stream_close);
         return callbacks;
     }
@@ -331,6 +339,13 @@
     if (!is_open() || !m_can_send) {
         return;
     }
+    if (!m_streams.empty() && is_unsent(m_streams.rbegin()->first)) {
+        // What is sent on a connection that has ended would not be known to have had an effect or not.
+        m_stream->read_arrived();
+        if (!is_open()) {
+            return;
+        }
+    }
     std::string batch;
     while (m_stream->unsent_bytes() + batch.size() < max_unsent_bytes) {
         const std::uint8_t* data = nullptr;
@@ -393,6 +408,10 @@
     fail_streams();
 }
 
+bool http2_connection::is_unsent(std::int32_t id) const {
+    return nghttp2_session_check_server_session(m_session) == 0 && id > m_last_sent_stream;
+}
+
 void http2_connection::fail_streams() {
     const auto keep = shared_from_this();
     const auto streams = std::move(m_streams);
@@ -400,7 +419,7 @@
     for (const auto& [id, stream] : streams) {
         stream->m_open = false;
         if (stream->m_handlers.m_on_closed) {
-            stream->m_handlers.m_on_closed(stream_end::broken);
+            stream->m_handlers.m_on_closed(is_unsent(id) ? stream_end::refused : stream_end::broken);
         }
     }
     if (m_handlers.m_on_closed) {
--- a/test/correctness/caller_protocol.cpp
+++ b/test/correctness/caller_protocol.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <thread>
 
 using standin::pg_session;
@@ -245,3 +246,22 @@
     PQclear(PQgetResult(first.native()));
     BOOST_TEST(first.run("SELECT count(*) FROM t").value() == "0");
 }
+
+/// Guards against writes that are sent over a connection whose other instance has gone, and end as unknown.
+BOOST_FIXTURE_TEST_CASE(a_write_is_not_sent_to_an_instance_that_has_gone, two_instances) {
+    raw_caller caller(remote_address());
+    caller.start("orders");
+    caller.query("CREATE TABLE t (id int primary key)");
+    BOOST_REQUIRE(caller.read_to('C'));
+    BOOST_REQUIRE(caller.read_to('Z'));
+    // The instance finds the statement first, and then the end of its connection to the other one.
+    m_fleet.instance(1 - m_home).signal(SIGSTOP);
+    caller.query("INSERT INTO t VALUES (1)");
+    m_fleet.instance(m_home).kill_now();
+    m_fleet.instance(1 - m_home).signal(SIGCONT);
+    const char answer = caller.read_to_one_of("CE");
+    BOOST_TEST_CONTEXT(caller.last_body()) {
+        BOOST_TEST(answer == 'C');
+    }
+    BOOST_TEST(pg_session(remote_address(), "orders").run("SELECT count(*) FROM t").value() == "1");
+}
