Read what has arrived on a stream into a buffer of its own

All streams of a thread share one buffer for what they receive. A home that learns a position in the midst of an answer can let a waiting statement run, and so reads another connection while the bytes of the answer are being split into messages: they would have been overwritten, and the caller given a damaged answer.

tcp_stream, reading_what_has_arrived_on_a_stream_leaves_the_bytes_of_another_alone, before: "check first == "first bytes" has failed [other bytes != first bytes]".

--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -49,7 +50,7 @@
     void set_handlers(handlers callbacks) { m_handlers = std::move(callbacks); }
     void write(std::string_view bytes);
     /// Passes on what has arrived by now, instead of leaving it to the event loop. Handlers may close the
-    /// stream.
+    /// stream. May be called while a handler of another stream runs.
     void read_arrived();
     void pause_reading();
     void resume_reading();
@@ -98,7 +99,7 @@
     [[nodiscard]] bool is_reading() const { return !m_reading_paused && !m_peer_finished; }
     void start(bool connecting);
     void on_ready(std::uint32_t events);
-    void read_available();
+    void read_into(std::span<char> chunk);
     bool flush();
     void linger();
     void report_discarded();
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t read_chunk_size = std::size_t{64} * 1024;
+/// Little arrives on a connection that is idle.
+constexpr std::size_t arrived_chunk_size = std::size_t{4} * 1024;
 /// Some tens of round trips, so that written data has arrived by then.
 constexpr milliseconds linger_time{250};
 
@@ -122,14 +124,14 @@
         return;
     }
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && is_reading()) {
-        read_available();
+        thread_local std::array<char, read_chunk_size> chunk;
+        read_into(chunk);
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         fail(close_reason::by_network);
     }
 }
 
-void tcp_stream::read_available() {
-    thread_local std::array<char, read_chunk_size> chunk;
+void tcp_stream::read_into(std::span<char> chunk) {
     const ssize_t received = recv(m_fd, chunk.data(), chunk.size(), 0);
     if (received > 0) {
         m_reactor.traffic().m_received += static_cast<std::uint64_t>(received);
@@ -148,7 +150,9 @@
 void tcp_stream::read_arrived() {
     const auto keep_alive = shared_from_this();
     while (!m_connecting && is_reading() && has_unreported_input()) {
-        read_available();
+        // Not the chunk of on_ready(): the handler of another stream may still be using its bytes.
+        std::array<char, arrived_chunk_size> chunk{};
+        read_into(chunk);
     }
 }
 
