--- a/test/correctness/caller_protocol.cpp
+++ b/test/correctness/caller_protocol.cpp
@@ -265,3 +265,20 @@
     }
     BOOST_TEST(pg_session(remote_address(), "orders").run("SELECT count(*) FROM t").value() == "1");
 }
+
+/// Guards against refusals that are lost to a reset because the caller has sent more than its startup
+/// message.
+BOOST_AUTO_TEST_CASE(a_caller_that_is_one_too_many_is_told_so) {
+    const fleet all({.m_instances = 1,
+                     .m_upstreams = 1,
+                     .m_instance_settings = {"--shards", "1", "--most_callers", "1"}});
+    raw_caller served(all.caller());
+    served.start("orders");
+    BOOST_REQUIRE(served.read_to('Z'));
+    raw_caller refused(all.caller());
+    refused.start("orders");
+    refused.query("SELECT 1");
+    BOOST_TEST(refused.read_to('E'));
+    BOOST_TEST(refused.last_body().find("too_many_callers") != std::string::npos);
+    BOOST_TEST(refused.is_closed_in_order());
+}
