--- a/libs/wire/include/anvilmount/wire/tcp_listener.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_listener.hpp
@@ -25,19 +25,18 @@
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
 
-    /// Accepts the connections that wait and stops listening. Without this, they are reset unheard. One whose
-    /// handshake is not complete is reset all the same.
-    void close();
-
     [[nodiscard]] const endpoint& address() const { return m_address; }
 
+    /// Accepts all connections that wait now. Closing the listener resets those that still wait, and those
+    /// whose handshake is not complete.
+    void accept_waiting();
+
 private:
     tcp_listener(reactor& loop, int fd, endpoint address, accept_handler on_accept);
-    /// Returns whether more connections may be waiting.
-    bool accept_pending();
+    void accept_up_to(int limit);
 
     reactor& m_reactor;
-    int m_fd; ///< -1: closed.
+    int m_fd;
     endpoint m_address;
     accept_handler m_on_accept;
 };
--- a/libs/wire/include/anvilmount/wire/tcp_stream.hpp
+++ b/libs/wire/include/anvilmount/wire/tcp_stream.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -30,10 +31,10 @@
         std::function<void()> m_on_connected{};
         std::function<void(std::string_view bytes)> m_on_bytes{};
         std::function<void()> m_on_drained{}; ///< The kernel has accepted all written bytes.
-        /// The peer has closed its sending direction and may still read. Without this handler the stream is
-        /// closed, and m_on_closed is called.
-        std::function<void()> m_on_input_ended{};
         std::function<void(close_reason)> m_on_closed{};
+        /// The peer sends nothing more; it may still read, or may have gone. Without this handler, the
+        /// stream closes.
+        std::function<void()> m_on_finished{};
     };
 
     /// Takes ownership of a connected, non-blocking descriptor.
@@ -48,13 +49,12 @@
 
     void set_handlers(handlers callbacks) { m_handlers = std::move(callbacks); }
     void write(std::string_view bytes);
+    /// Passes on what has arrived by now, instead of leaving it to the event loop. Handlers may close the
+    /// stream. May be called while a handler of another stream runs.
+    void read_arrived();
     void pause_reading();
     void resume_reading();
 
-    /// Reports what has arrived by now to m_on_bytes, also while reading is paused, without waiting for the
-    /// event loop; at most `limit` bytes.
-    void read_now(std::size_t limit);
-
     /// Enables TCP keepalive: the kernel probes an idle peer and closes the connection about 3 s after the
     /// last data or acknowledgement from it. Without keepalive, a connection whose network path has failed
     /// stays open until something is sent.
@@ -96,9 +96,10 @@
 private:
     tcp_stream(reactor& loop, int fd, handlers callbacks);
 
+    [[nodiscard]] bool is_reading() const { return !m_reading_paused && !m_peer_finished; }
     void start(bool connecting);
     void on_ready(std::uint32_t events);
-    void read_available();
+    void read_into(std::span<char> chunk);
     bool flush();
     void linger();
     void report_discarded();
@@ -113,7 +114,7 @@
     std::uint32_t m_watched_events{0}; ///< Event mask last passed to the reactor.
     bool m_connecting{false};
     bool m_reading_paused{false};
-    bool m_input_ended{false}; ///< Nothing is left to read.
+    bool m_peer_finished{false}; ///< The end of the peer's bytes was reported by m_on_finished.
     bool m_connect_refused{false};
     bool m_close_after_flush{false};
     bool m_finishing{false};
--- a/libs/wire/src/tcp_listener.cpp
+++ b/libs/wire/src/tcp_listener.cpp
@@ -45,7 +45,7 @@
     if (fd < 0 || !bind_and_listen(fd, where)) {
         const std::string reason = std::strerror(errno);
         if (fd >= 0) {
-            ::close(fd);
+            close(fd);
         }
         return fail(result_code::listen_failed, "cannot listen on " + to_string(where) + ": " + reason);
     }
@@ -55,36 +55,27 @@
 
 tcp_listener::tcp_listener(reactor& loop, int fd, endpoint address, accept_handler on_accept)
     : m_reactor(loop), m_fd(fd), m_address(std::move(address)), m_on_accept(std::move(on_accept)) {
-    m_reactor.watch(m_fd, EPOLLIN, [this](std::uint32_t) { accept_pending(); });
+    m_reactor.watch(m_fd, EPOLLIN, [this](std::uint32_t) { accept_up_to(accepts_per_round); });
 }
 
 tcp_listener::~tcp_listener() {
-    if (m_fd >= 0) {
-        m_reactor.unwatch(m_fd);
-        ::close(m_fd);
-    }
+    m_reactor.unwatch(m_fd);
+    close(m_fd);
 }
 
-void tcp_listener::close() {
-    if (m_fd < 0) {
-        return;
-    }
-    while (accept_pending()) {
-    }
-    m_reactor.unwatch(m_fd);
-    ::close(m_fd);
-    m_fd = -1;
+void tcp_listener::accept_waiting() {
+    // Bounded, since others may connect meanwhile.
+    accept_up_to(backlog);
 }
 
-bool tcp_listener::accept_pending() {
-    for (int count = 0; count < accepts_per_round; ++count) {
+void tcp_listener::accept_up_to(int limit) {
+    for (int count = 0; count < limit; ++count) {
         const int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) {
-            return false;
+            return;
         }
         m_on_accept(fd);
     }
-    return true;
 }
 
 }
--- a/libs/wire/src/tcp_stream.cpp
+++ b/libs/wire/src/tcp_stream.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t read_chunk_size = std::size_t{64} * 1024;
+/// Little arrives on a connection that is idle.
+constexpr std::size_t arrived_chunk_size = std::size_t{4} * 1024;
 /// Some tens of round trips, so that written data has arrived by then.
 constexpr milliseconds linger_time{250};
 
@@ -121,23 +123,23 @@
     if ((events & EPOLLOUT) != 0 && !flush()) {
         return;
     }
-    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !m_reading_paused && !m_input_ended) {
-        read_available();
+    if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && is_reading()) {
+        thread_local std::array<char, read_chunk_size> chunk;
+        read_into(chunk);
     } else if ((events & (EPOLLHUP | EPOLLERR)) != 0) {
         fail(close_reason::by_network);
     }
 }
 
-void tcp_stream::read_available() {
-    thread_local std::array<char, read_chunk_size> chunk;
+void tcp_stream::read_into(std::span<char> chunk) {
     const ssize_t received = recv(m_fd, chunk.data(), chunk.size(), 0);
     if (received > 0) {
         m_reactor.traffic().m_received += static_cast<std::uint64_t>(received);
         m_handlers.m_on_bytes({chunk.data(), static_cast<std::size_t>(received)});
-    } else if (received == 0 && m_handlers.m_on_input_ended) {
-        m_input_ended = true;
+    } else if (received == 0 && m_handlers.m_on_finished) {
+        m_peer_finished = true;
         update_events();
-        m_handlers.m_on_input_ended();
+        m_handlers.m_on_finished();
     } else if (received == 0) {
         fail(close_reason::by_peer);
     } else if (!would_block()) {
@@ -145,10 +147,12 @@
     }
 }
 
-void tcp_stream::read_now(std::size_t limit) {
-    for (std::size_t read = 0; read < limit && !m_lingering && has_unreported_input() && !m_input_ended;
-         read += read_chunk_size) {
-        read_available();
+void tcp_stream::read_arrived() {
+    const auto keep_alive = shared_from_this();
+    while (!m_connecting && is_reading() && has_unreported_input()) {
+        // Not the chunk of on_ready(): the handler of another stream may still be using its bytes.
+        std::array<char, arrived_chunk_size> chunk{};
+        read_into(chunk);
     }
 }
 
@@ -244,8 +248,7 @@
     if (!is_open() || m_connecting) {
         return;
     }
-    const bool reads = !m_reading_paused && !m_input_ended;
-    const std::uint32_t wanted = (reads ? EPOLLIN : 0U) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
+    const std::uint32_t wanted = (is_reading() ? EPOLLIN : 0U) | (unsent_bytes() > 0 ? EPOLLOUT : 0U);
     if (wanted != m_watched_events) {
         m_watched_events = wanted;
         m_reactor.set_events(m_fd, wanted);
@@ -296,7 +299,7 @@
     m_lingering = true;
     // The owner may drop the stream now: the timer keeps a reference until the stream is closed.
     m_reactor.defer([self = shared_from_this()] { self->m_handlers = {}; });
-    if (m_input_ended) {
+    if (m_peer_finished) {
         close();
         return;
     }
@@ -321,7 +324,7 @@
     if (m_fd < 0) {
         return;
     }
-    if (m_watched_events != 0 || m_connecting || m_reading_paused || m_input_ended) {
+    if (m_watched_events != 0 || m_connecting || !is_reading()) {
         m_reactor.unwatch(m_fd);
     }
     ::close(m_fd);
--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -487,7 +487,8 @@
     served.m_fleet.instance(1).leave(grace, [] {});
     served.run_for(grace);
     waiting_caller caller(test::test_address(40));
-    listener.value()->close();
+    listener.value()->accept_waiting();
+    listener.value().reset();
     BOOST_TEST(caller.received_to_end().starts_with("ERROR BUSY"));
 }
 
