Send nothing on an idle upstream connection that has ended

What callers saw: INDOUBT for a write that can't have run. Also found: a message that an upstream had sent unasked on an idle connection was taken for the answer to the next statement, proof included.

Cause: the pool took an idle connection whose end or whose unexpected message was in the kernel already but had not been reported by the event loop.

The fix: the port asks the socket before each use of an idle connection; one with unreported input is dropped like a lost one and another is taken or opened. Nothing is outstanding on an idle connection, so any input is its end or stray. Reads and internal statements are included, since a stray message would answer them too.

--- a/libs/gateway/include/anvilmount/gateway/ports.hpp
+++ b/libs/gateway/include/anvilmount/gateway/ports.hpp
@@ -70,6 +70,10 @@
 /// One connection to an upstream.
 struct upstream_channel {
     std::function<void(const std::vector<outgoing_statement>&)> m_send{}; ///< Sends all in one write.
+    /// Whether the end of the connection or bytes have arrived that no event has reported yet. True for a
+    /// connection without open statements: what is sent now is not read, or is taken to be answered by
+    /// them.
+    std::function<bool()> m_has_unreported_input{};
     std::function<void()> m_close{};
 };
 
--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -233,9 +233,15 @@
     void mark_failing(const char* reason);
     /// Sends waiting work as long as slots and connections are free.
     void dispatch();
-    /// Takes an idle connection of the work's account, preferably one with its session values; null if
-    /// there is none.
+    /// Takes an idle connection of the work's account that has not ended; null if there is none.
     connection_handle acquire_idle(const pool_work& work);
+    /// Returns an idle connection of the work's account, preferably one with its session values.
+    [[nodiscard]] connection_handle choose_idle(const pool_work& work) const;
+    void take_idle(const connection_handle& connection);
+    /// Removes the connection if its end or an unexpected message has arrived, and returns whether it did.
+    /// Asked before each use, reads and internal statements included: a system call costs little beside the
+    /// send, and a stray message would be taken for the answer.
+    bool drop_if_ended(const connection_handle& connection);
     /// Sends the work, preceded by the statements that set its session values and prepare it.
     void send(const connection_handle& connection, std::uint64_t work_id, pool_work& work);
     void finish(std::uint64_t work_id, work_result result);
@@ -260,7 +266,8 @@
     pool_accounting m_accounting;
     std::map<std::uint64_t, pool_work> m_work;      ///< Work that waits or runs, by work id.
     std::map<std::uint64_t, steady_time> m_running; ///< When each running work was sent, by work id.
-    /// Work that holds a slot and awaits a connection of its account, oldest first.
+    /// Work that holds a slot and awaits a connection of its account, oldest first. Without client
+    /// accounts: work for which the connections that looked idle turned out to have ended.
     std::deque<std::uint64_t> m_awaiting_connection;
     /// Set by the first work of a client account, for good.
     bool m_serves_accounts{false};
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -150,7 +150,9 @@
 
 void upstream_pool::dispatch() {
     while (!m_internal_queue.empty() && !m_idle.empty()) {
-        send_next_internal();
+        if (!drop_if_ended(connection_handle(m_idle.back()))) {
+            send_next_internal();
+        }
     }
     serve_awaiting();
     for (;;) {
@@ -222,6 +224,17 @@
 }
 
 connection_handle upstream_pool::acquire_idle(const pool_work& work) {
+    connection_handle connection = choose_idle(work);
+    while (connection && drop_if_ended(connection)) {
+        connection = choose_idle(work);
+    }
+    if (connection) {
+        take_idle(connection);
+    }
+    return connection;
+}
+
+connection_handle upstream_pool::choose_idle(const pool_work& work) const {
     auto chosen = m_idle.rend();
     for (auto each = m_idle.rbegin(); each != m_idle.rend(); ++each) {
         if ((*each)->m_account != work.m_account) {
@@ -233,15 +246,23 @@
         }
         chosen = chosen == m_idle.rend() ? each : chosen;
     }
-    if (chosen == m_idle.rend()) {
-        return nullptr;
-    }
-    const auto position = std::prev(chosen.base());
-    connection_handle connection = *position;
-    m_idle.erase(position);
+    return chosen == m_idle.rend() ? nullptr : *chosen;
+}
+
+void upstream_pool::take_idle(const connection_handle& connection) {
+    std::erase(m_idle, connection);
     m_accounting.record_acquired();
     connection->m_state = pooled_connection::state::in_use;
-    return connection;
+}
+
+bool upstream_pool::drop_if_ended(const connection_handle& connection) {
+    if (!connection->m_channel.m_has_unreported_input()) {
+        return false;
+    }
+    m_metrics.count("upstream_connections_lost");
+    connection->m_channel.m_close();
+    discard(connection, connection->m_state == pooled_connection::state::idle);
+    return true;
 }
 
 void upstream_pool::send(const connection_handle& connection, std::uint64_t work_id, pool_work& work) {
@@ -348,9 +369,7 @@
 
 void upstream_pool::send_next_internal() {
     const connection_handle connection = m_idle.back();
-    m_idle.pop_back();
-    m_accounting.record_acquired();
-    connection->m_state = pooled_connection::state::in_use;
+    take_idle(connection);
     connection->m_since = m_clock.m_now();
     internal_statement next = std::move(m_internal_queue.front());
     m_internal_queue.pop_front();
@@ -468,7 +487,9 @@
         return;
     }
     int wanted = m_accounting.connections_to_open(
-        m_queue.connections_needed() + static_cast<int>(m_internal_queue.size()), m_clock.m_now());
+        m_queue.connections_needed() +
+            static_cast<int>(m_internal_queue.size() + m_awaiting_connection.size()),
+        m_clock.m_now());
     for (; wanted > 0; --wanted) {
         start_connection({});
     }
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -64,6 +64,7 @@
                             m_clock.after(path_delay, [this, made, each] { receive(made, each); });
                         }
                     },
+                .m_has_unreported_input = [made] { return !made->m_open; },
                 .m_close =
                     [this, made] {
                         made->m_events = {};
@@ -132,6 +133,23 @@
     };
 }
 
+void fake_upstreams::close_connections(const std::string& id, milliseconds delay) {
+    const std::vector<connection_ptr> open = m_connections;
+    for (const connection_ptr& each : open) {
+        if (each->m_upstream != id) {
+            continue;
+        }
+        const auto events = std::exchange(each->m_events, {});
+        drop(each);
+        each->m_events = events;
+        m_clock.after(delay, [each] {
+            if (const auto reported = std::exchange(each->m_events, {}); reported.m_on_lost) {
+                reported.m_on_lost();
+            }
+        });
+    }
+}
+
 void fake_upstreams::receive(const connection_ptr& conn, const outgoing_statement& what) {
     const fake_upstream& upstream = m_upstreams.at(conn->m_upstream);
     if (!conn->m_open || upstream.m_silent || is_cut(*conn)) {
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -68,6 +68,9 @@
     /// Takes an upstream down and breaks its connections.
     void crash(const std::string& id);
 
+    /// Closes the connections to `id`; the instances, whose event loops are late, are told after `delay`.
+    void close_connections(const std::string& id, milliseconds delay);
+
     /// Returns a function that closes the connections that `instance` has now, without notifying it.
     [[nodiscard]] std::function<void()> connection_closer(const std::string& instance);
 
--- a/test/support/loaded_group.hpp
+++ b/test/support/loaded_group.hpp
@@ -178,6 +178,7 @@
                             receive(channel, statement);
                         }
                     },
+                .m_has_unreported_input = [] { return false; },
                 .m_close =
                     [this, channel] {
                         channel->m_open = false;
