Answer a COMMIT whose connection had ended before as rolled back

What callers saw: INDOUBT for the COMMIT of a transaction that wrote, although the upstream had closed the connection, and so rolled back, before the COMMIT was sent.

Cause: the pool knew of the end of a connection that a transaction holds only once the event loop had reported it.

Evidence: a_commit_is_not_sent_on_a_connection_that_its_upstream_has_closed, before the fix: "check (caller.m_answers[2].m_code == result_code::transaction_lost) has failed".

The fix: the pool looks at a held connection as at an idle one. Nothing is outstanding on it between two statements, and a connection that is closed rolls back, so the statement gets transaction_lost, which is true.

--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -238,9 +238,9 @@
     /// Returns an idle connection of the work's account, preferably one with its session values.
     [[nodiscard]] connection_handle choose_idle(const pool_work& work) const;
     void take_idle(const connection_handle& connection);
-    /// Removes the connection if its end or an unexpected message has arrived, and returns whether it did.
-    /// Asked before each use, reads and internal statements included: a system call costs little beside the
-    /// send, and a stray message would be taken for the answer.
+    /// Removes a connection without open statements if its end or an unexpected message has arrived, and
+    /// returns whether it did. Asked before each use, reads and internal statements included: a system call
+    /// costs little beside the send, and a stray message would be taken for the answer.
     bool drop_if_ended(const connection_handle& connection);
     /// Sends the work, preceded by the statements that set its session values and prepare it.
     void send(const connection_handle& connection, std::uint64_t work_id, pool_work& work);
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -163,7 +163,8 @@
         const auto found = m_work.find(ticket->m_id);
         internal_check(found != m_work.end(), "each queued ticket has an entry in m_work");
         pool_work& work = found->second;
-        if (work.m_connection && work.m_connection->m_state == pooled_connection::state::closed) {
+        if (work.m_connection && (work.m_connection->m_state == pooled_connection::state::closed ||
+                                  drop_if_ended(work.m_connection))) {
             m_queue.release(*ticket, microseconds{0});
             finish(ticket->m_id,
                    {.m_outcome = work_outcome::not_run, .m_code = result_code::transaction_lost});
--- a/test/gateway/upstream_endings.cpp
+++ b/test/gateway/upstream_endings.cpp
@@ -175,3 +175,22 @@
     site.m_loop.run_until([&] { return reply.has_value(); });
     BOOST_TEST(reply->has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_commit_is_not_sent_on_a_connection_that_its_upstream_has_closed) {
+    test::gateway_fleet fleet(1);
+    test::test_caller caller(fleet.instance(1), "pay");
+    caller.send(kind::begin, "BEGIN");
+    caller.send(kind::write, "WRITE 1 a");
+    fleet.run_for(100ms);
+    fleet.m_upstreams.close_connections("orders-1", late);
+    caller.send(kind::commit, "COMMIT");
+    fleet.run_for(200ms);
+    BOOST_REQUIRE(caller.m_answers.size() == 3U);
+    BOOST_TEST((caller.m_answers[2].m_code == result_code::transaction_lost));
+    BOOST_TEST((caller.m_answers[2].m_state == gateway::session_state::idle));
+    caller.send(kind::write, "WRITE 2 a");
+    fleet.run_for(200ms);
+    BOOST_REQUIRE(caller.m_answers.size() == 4U);
+    BOOST_TEST(caller.m_answers[3].succeeded());
+    BOOST_TEST(run_count(fleet, "COMMIT") == 0);
+}
