--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -257,7 +257,8 @@
 }
 
 bool upstream_pool::drop_if_ended(const connection_handle& connection) {
-    if (!connection->m_channel.m_has_unreported_input()) {
+    // Open statements may be answered at any time.
+    if (connection->m_pending_answers > 0 || !connection->m_channel.m_has_unreported_input()) {
         return false;
     }
     m_metrics.count("upstream_connections_lost");
