Soak callers that shut down their sending direction, and STARTs beside SIGTERM

Two endings that callers have were not checked. A caller may send an operation whole, a statement or BEGIN to COMMIT, and shut down its sending direction: it has to get all answers, then the end of the stream. 6 of 100 operations of the soak's callers do so now; the excuses for a missing answer are the three there were. START, too, must end in READY, one ERROR line and an orderly end, or a refused connection: callers open sessions within 6 ms before and after SIGTERM. A reset without a line is a promise broken if the caller saw the connection established before SIGTERM; later ones are counted, as the kernel resets handshakes that are under way when a listening port closes.

--- a/test/soak/ledger_notices.cpp
+++ b/test/soak/ledger_notices.cpp
@@ -29,13 +29,14 @@
     }
 
     void send(const std::string& id, const std::string& text, std::uint64_t attempt,
-              bool in_transaction = false, std::uint64_t session = 1) {
+              bool in_transaction = false, std::uint64_t session = 1, bool before_half_close = false) {
         m_now += 1ms;
         m_ledger.on_statement_sent({.m_id = id,
                                     .m_text = text,
                                     .m_session = session,
                                     .m_attempt = attempt,
                                     .m_in_transaction = in_transaction,
+                                    .m_before_half_close = before_half_close,
                                     .m_at = m_now});
     }
 
@@ -263,6 +264,56 @@
                }) == "none");
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_a_half_close_cuts_off_is_reported) {
+    one_group all;
+    all.send("b1", "BEGIN", 1, true, 1, true);
+    all.send("w1", "WRITE 1 x", 1, true, 1, true);
+    all.send("c1", "COMMIT", 1, true, 1, true);
+    all.m_ledger.on_answer_received("b1", {.m_success = true, .m_proof = "-"}, all.m_now);
+    all.run("w1", "WRITE 1 x", "a", 7);
+    all.succeed("w1");
+    all.run("c1", "COMMIT", "a", 7);
+    all.commit("w1");
+    BOOST_TEST(all.report() == "none");
+    all.m_ledger.on_closed_unanswered("c1", {.m_last_seen = all.m_now});
+    BOOST_REQUIRE(all.m_ledger.violations().size() == 1U);
+    BOOST_TEST(all.m_ledger.violations().front() ==
+               "connection closed without an answer: c1, sending shut down, has run");
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_a_gateway_leaves_without_a_line_is_reported) {
+    const steady_time told{10s};
+    const auto outcome = [&](const test::ended_start& what, const test::gateway_life& life) {
+        one_group all;
+        all.m_ledger.on_start_ended(what, life);
+        return all.m_ledger.reset_starts().empty() ? all.report() : "counted";
+    };
+    const test::gateway_life leaving{.m_told_to_stop = told, .m_last_seen = told + 500ms};
+    const test::gateway_life killed{.m_killed = true, .m_told_to_stop = told};
+    const test::ended_start before{
+        .m_connected_at = told - 1ms, .m_ended_at = told + 2ms, .m_was_reset = true};
+    const test::ended_start after{
+        .m_connected_at = told + 1ms, .m_ended_at = told + 2ms, .m_was_reset = true};
+    const test::ended_start unseen{.m_ended_at = told + 2ms, .m_was_reset = true};
+    BOOST_TEST(outcome(before, leaving) == "connection reset without an answer to START");
+    BOOST_TEST(outcome(after, leaving) == "counted");
+    BOOST_TEST(outcome(unseen, leaving) == "counted");
+    for (const auto& each : {before, after, unseen}) {
+        BOOST_TEST(outcome(each, {}) == "connection reset without an answer to START");
+        BOOST_TEST(outcome(each, killed) == "none");
+    }
+    // The end of the stream is no reset, and an answer is lost by one.
+    BOOST_TEST(outcome({.m_connected_at = told + 1ms, .m_ended_at = told + 2ms}, leaving) ==
+               "connection closed without an answer to START");
+    BOOST_TEST(outcome({.m_connected_at = told + 1ms,
+                        .m_ended_at = told + 2ms,
+                        .m_was_answered = true,
+                        .m_was_reset = true},
+                       leaving) == "connection reset after START was refused");
+    BOOST_TEST(outcome({.m_connected_at = told + 1ms, .m_ended_at = told + 2ms, .m_was_answered = true},
+                       leaving) == "none");
+}
+
 BOOST_AUTO_TEST_CASE(a_promotion_with_an_older_or_reused_fencing_token_is_reported) {
     one_group all;
     all.m_ledger.on_promotion_ordered("one", 3);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -309,11 +309,20 @@
     for (const auto& [excuse, count] : fleet.ledger().excused()) {
         std::printf("%d statements without an answer, gateway %s\n", count, excuse.c_str());
     }
+    for (const test::reset_start& each : fleet.ledger().reset_starts()) {
+        const std::string connected =
+            each.m_connected_after ? std::to_string(each.m_connected_after->count()) + " ms" : "unseen";
+        std::printf("connection reset before any line %lld ms after SIGTERM, connected %s\n",
+                    static_cast<long long>(each.m_reset_after.count()), connected.c_str());
+    }
     std::uint64_t served = 0;
     for (const test::soak_route& each : fleet.routes()) {
         served += fleet.ledger().successes(each.m_database);
     }
-    std::printf("seed %d: %llu statements served, %zu promises broken\n", FLAGS_seed,
-                static_cast<unsigned long long>(served), fleet.ledger().violations().size());
+    std::printf("seed %d: %llu statements served, %llu sessions ended by half-close, %zu starts reset, "
+                "%zu promises broken\n",
+                FLAGS_seed, static_cast<unsigned long long>(served),
+                static_cast<unsigned long long>(fleet.half_closes()), fleet.ledger().reset_starts().size(),
+                fleet.ledger().violations().size());
     return fleet.ledger().violations().empty() ? 0 : 1;
 }
--- a/test/soak/promise_ledger.cpp
+++ b/test/soak/promise_ledger.cpp
@@ -21,6 +21,18 @@
     return text.starts_with("WRITE ") || text.starts_with("EXECUTE WRITE ");
 }
 
+/// Returns why a gateway may have left unanswered what was sent to it then; null if nothing explains it.
+const char* excuse_for(steady_time sent_at, bool has_run, const gateway_life& life) {
+    const bool suspended =
+        life.m_told_to_stop && life.m_suspended_until >= std::max(sent_at, *life.m_told_to_stop);
+    const bool after_end =
+        life.m_told_to_stop && life.m_ended && !has_run && sent_at + last_moments > life.m_last_seen;
+    return life.m_killed ? "killed"
+           : suspended   ? "suspended"
+           : after_end   ? "past its announced end"
+                         : nullptr;
+}
+
 bool contains(const standin::line_log& log, std::size_t number, const std::string& id) {
     return number < log.size() &&
            std::count(log[number]->m_statement_ids.begin(), log[number]->m_statement_ids.end(), id) > 0;
@@ -108,24 +120,42 @@
 }
 
 void promise_ledger::on_closed_unanswered(const std::string& id, const gateway_life& life) {
-    const steady_time sent_at = m_statements.at(id).m_sent.m_at;
-    const bool suspended =
-        life.m_told_to_stop && life.m_suspended_until >= std::max(sent_at, *life.m_told_to_stop);
-    const bool after_end =
-        life.m_told_to_stop && life.m_ended && !has_run(id) && sent_at + last_moments > life.m_last_seen;
-    const char* const excuse = life.m_killed ? "killed"
-                               : suspended   ? "suspended"
-                               : after_end   ? "past its announced end"
-                                             : nullptr;
-    if (excuse != nullptr) {
+    const sent_statement& sent = m_statements.at(id).m_sent;
+    if (const char* const excuse = excuse_for(sent.m_at, has_run(id), life)) {
         ++m_excused[excuse];
     } else {
         report("connection closed without an answer: " + id +
+               (sent.m_before_half_close ? ", sending shut down" : "") +
                (life.m_told_to_stop ? ", told to stop" : "") + (life.m_ended ? ", ended" : "") +
                (has_run(id) ? ", has run" : ""));
     }
 }
 
+void promise_ledger::on_start_ended(const ended_start& what, const gateway_life& life) {
+    if (what.m_was_answered && !what.m_was_reset) {
+        return;
+    }
+    const steady_time opened_at = what.m_connected_at.value_or(what.m_ended_at);
+    if (!what.m_was_answered && what.m_was_reset && !life.m_killed && life.m_told_to_stop &&
+        opened_at >= *life.m_told_to_stop) {
+        const auto after_signal = [&](steady_time when) {
+            return std::chrono::duration_cast<anvilmount::milliseconds>(when - *life.m_told_to_stop);
+        };
+        m_reset_starts.push_back({.m_connected_after = what.m_connected_at
+                                                           ? std::optional(after_signal(opened_at))
+                                                           : std::nullopt,
+                                  .m_reset_after = after_signal(what.m_ended_at)});
+        return;
+    }
+    if (const char* const excuse = excuse_for(opened_at, false, life)) {
+        ++m_excused[excuse];
+    } else {
+        report(std::string("connection ") + (what.m_was_reset ? "reset" : "closed") +
+               (what.m_was_answered ? " after START was refused" : " without an answer to START") +
+               (life.m_told_to_stop ? ": told to stop" : ""));
+    }
+}
+
 void promise_ledger::on_statement_run(const standin::line_execution& what) {
     const auto known = m_statements.find(what.m_id);
     if (known == m_statements.end()) {
--- a/test/soak/promise_ledger.hpp
+++ b/test/soak/promise_ledger.hpp
@@ -37,6 +37,7 @@
     std::uint64_t m_session{0};
     std::uint64_t m_attempt{0}; ///< Shared by the statements of one attempt of an operation.
     bool m_in_transaction{false};
+    bool m_before_half_close{false}; ///< The caller shuts down its sending direction after this operation.
     anvilmount::steady_time m_at{};
 };
 
@@ -58,6 +59,22 @@
     anvilmount::steady_time m_last_seen{}; ///< When it was last seen running.
 };
 
+/// A connection that was not refused (ECONNREFUSED) and ended without READY.
+struct ended_start {
+    std::optional<anvilmount::steady_time> m_connected_at{}; ///< Unset: reset before the caller noticed.
+    anvilmount::steady_time m_ended_at{};
+    bool m_was_answered{false}; ///< With one ERROR line.
+    bool m_was_reset{false};
+};
+
+/// A connection without any line that ended by a reset, and that its caller saw established after SIGTERM
+/// if at all: the kernel resets a handshake that is under way as a listening port closes. Times since
+/// SIGTERM.
+struct reset_start {
+    std::optional<anvilmount::milliseconds> m_connected_after{};
+    anvilmount::milliseconds m_reset_after{};
+};
+
 /// Records the events of a soak run and checks each against the earlier ones.
 class promise_ledger {
 public:
@@ -75,6 +92,7 @@
     /// `life` includes what happened shortly after: a gateway that leaves goes on for 100 ms after it has
     /// announced the end of its sessions, and while callers are connected.
     void on_closed_unanswered(const std::string& id, const gateway_life& life);
+    void on_start_ended(const ended_start& what, const gateway_life& life);
     void on_value_set(std::uint64_t session, const std::string& name, const std::string& value);
 
     void on_statement_run(const standin::line_execution& what);
@@ -90,6 +108,7 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
     /// Statements that a closed connection left unanswered with an excuse, by excuse.
     [[nodiscard]] const std::map<std::string, int>& excused() const { return m_excused; }
+    [[nodiscard]] const std::vector<reset_start>& reset_starts() const { return m_reset_starts; }
     /// Number of reads, writes and COMMITs that succeeded.
     [[nodiscard]] std::uint64_t successes(const std::string& database) const;
 
@@ -146,6 +165,7 @@
     std::uint64_t m_newest_token{0};
     std::string m_newest_holder;
     std::map<std::string, int> m_excused;
+    std::vector<reset_start> m_reset_starts;
     std::vector<std::string> m_violations;
 };
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -61,17 +61,29 @@
         schedule(reconnect_pause, &soak_caller::connect);
         return;
     }
-    m_instance_life = target->m_life;
+    connect_to(*target);
+}
+
+void soak_caller::connect_to(const soak_environment::instance& target) {
+    m_instance_life = target.m_life;
     m_session = m_environment.m_next_number++;
     m_opened = false;
+    m_finished = false;
+    m_connected_at.reset();
+    m_awaits_close_since.reset();
     m_unread.clear();
     m_plan.clear();
     m_prepared.clear();
-    m_outstanding.reset();
+    m_outstanding.clear();
+    const std::string key = keys.at(static_cast<std::size_t>(draw(static_cast<int>(keys.size()))));
     m_environment.m_ledger.on_session_opened(m_session, m_route);
     m_stream = tcp_stream::connect(
-        m_environment.m_loop, target->m_callers,
-        {.m_on_connected = [this] { m_stream->write("START " + m_route.m_database + " " + key + "\r\n"); },
+        m_environment.m_loop, target.m_callers,
+        {.m_on_connected =
+             [this, key] {
+                 m_connected_at = reactor::now();
+                 m_stream->write("START " + m_route.m_database + " " + key + "\r\n");
+             },
          .m_on_bytes =
              [this, session = m_session](std::string_view bytes) {
                  m_unread.append(bytes);
@@ -82,14 +94,22 @@
                      on_line(line);
                  }
              },
-         .m_on_closed = [this](close_reason) { on_connection_lost(); }});
+         .m_on_closed = [this](close_reason reason) { on_connection_lost(reason); }});
     m_environment.m_loop.after(answer_timeout, [this, session = m_session] {
-        if (session == m_session && !m_opened && !m_stopped) {
+        if (session == m_session && !m_opened && !m_awaits_close_since && !m_stopped) {
             end_session(reconnect_pause);
         }
     });
 }
 
+void soak_caller::move_to(const soak_environment::instance& target) {
+    if (m_stopped || !m_opened || !m_outstanding.empty() || m_awaits_close_since) {
+        return;
+    }
+    end_session(reconnect_pause);
+    connect_to(target);
+}
+
 void soak_caller::end_session(milliseconds pause) {
     m_session = m_environment.m_next_number++;
     // This may run inside a handler of the stream, so its destruction is deferred.
@@ -100,9 +120,15 @@
     schedule(pause, &soak_caller::connect);
 }
 
-void soak_caller::on_connection_lost() {
-    if (m_outstanding) {
-        m_environment.m_on_closed_unanswered(m_instance_life, m_outstanding->m_id);
+void soak_caller::on_connection_lost(close_reason reason) {
+    for (const outstanding& each : m_outstanding) {
+        m_environment.m_on_closed_unanswered(m_instance_life, each.m_id);
+    }
+    if (!m_opened && !m_stream->was_refused()) {
+        m_environment.m_on_start_ended(m_instance_life, {.m_connected_at = m_connected_at,
+                                                         .m_ended_at = reactor::now(),
+                                                         .m_was_answered = m_awaits_close_since.has_value(),
+                                                         .m_was_reset = reason != close_reason::by_peer});
     }
     end_session(reconnect_pause);
 }
@@ -110,28 +136,38 @@
 void soak_caller::on_line(const std::string& line) {
     const std::string word = line.substr(0, line.find(' '));
     const std::string rest = line.size() > word.size() ? line.substr(word.size() + 1) : std::string{};
+    if (!m_opened && m_awaits_close_since) {
+        m_environment.m_ledger.report("line after the refusal of START: " + line);
+        end_session(reconnect_pause);
+        return;
+    }
     if (word == "READY") {
         on_ready(rest);
         return;
     }
-    if (!m_outstanding) {
+    if (!m_opened && word == "ERROR") {
+        await_close();
+        return;
+    }
+    if (m_outstanding.empty()) {
         // An error outside any answer announces the end of the session.
         if (word != "ERROR") {
             m_environment.m_ledger.report("answer without an outstanding statement: " + line);
         }
         end_session(reconnect_pause);
     } else if (word == "ROW") {
-        m_outstanding->m_answer.m_rows.push_back(rest);
+        m_outstanding.front().m_answer.m_rows.push_back(rest);
     } else if (word == "COMPLETE") {
-        m_outstanding->m_answer.m_success = true;
-        m_outstanding->m_answer.m_proof = rest;
+        m_outstanding.front().m_answer.m_success = true;
+        m_outstanding.front().m_answer.m_proof = rest;
     } else if (word == "ERROR") {
         const std::string code = rest.substr(0, rest.find(' '));
-        m_outstanding->m_answer.m_failed = true;
-        m_outstanding->m_answer.m_guarantees_no_effect =
+        m_outstanding.front().m_answer.m_failed = true;
+        m_outstanding.front().m_answer.m_guarantees_no_effect =
             std::find(no_effect_codes.begin(), no_effect_codes.end(), code) != no_effect_codes.end();
     } else {
-        m_environment.m_ledger.report("unknown line in the answer to " + m_outstanding->m_id + ": " + line);
+        m_environment.m_ledger.report("unknown line in the answer to " + m_outstanding.front().m_id + ": " +
+                                      line);
     }
 }
 
@@ -141,13 +177,21 @@
         next_operation();
         return;
     }
-    if (!m_outstanding) {
+    if (m_outstanding.empty()) {
         m_environment.m_ledger.report("answer without an outstanding statement: READY " + state);
         return;
     }
-    const outstanding done = *m_outstanding;
-    m_outstanding.reset();
+    const outstanding done = m_outstanding.front();
+    m_outstanding.pop_front();
     m_environment.m_ledger.on_answer_received(done.m_id, done.m_answer, reactor::now());
+    if (m_finished) {
+        if (m_outstanding.empty()) {
+            await_close();
+        } else {
+            m_outstanding.front().m_waiting_since = reactor::now();
+        }
+        return;
+    }
     const bool is_idle = state.starts_with("I");
     // After a failed SET or PREPARE, the values and prepared statements of the session are unknown.
     const bool is_known = !done.m_text.starts_with("SET ") && !done.m_text.starts_with("PREPARE ");
@@ -178,7 +222,11 @@
 
 void soak_caller::next_operation() {
     plan_operation();
-    send_next();
+    if (chance(m_environment.m_half_close_percent)) {
+        send_all_and_finish();
+    } else {
+        send_next();
+    }
 }
 
 void soak_caller::plan_operation() {
@@ -235,30 +283,60 @@
     const planned_statement next = m_plan.front();
     m_plan.pop_front();
     const std::string id = "q" + std::to_string(m_environment.m_next_number++);
-    m_outstanding = outstanding{.m_id = id, .m_text = next.m_text, .m_sent_at = reactor::now()};
+    m_outstanding.push_back({.m_id = id, .m_text = next.m_text, .m_waiting_since = reactor::now()});
     m_environment.m_ledger.on_statement_sent({.m_id = id,
                                               .m_text = next.m_text,
                                               .m_session = m_session,
                                               .m_attempt = m_attempt,
                                               .m_in_transaction = m_in_transaction,
+                                              .m_before_half_close = m_finished,
                                               .m_at = reactor::now()});
     m_stream->write("QUERY " + id + " " + next.m_wire + "\r\n");
     m_environment.m_loop.after(answer_timeout, [this, id] { check_timeout(id); });
 }
 
+void soak_caller::send_all_and_finish() {
+    ++m_environment.m_half_closes;
+    m_finished = true;
+    while (!m_plan.empty()) {
+        send_next();
+    }
+    m_stream->finish();
+}
+
 void soak_caller::check_timeout(const std::string& id) {
-    if (m_stopped || !m_outstanding || m_outstanding->m_id != id) {
+    const auto waiting = std::find_if(m_outstanding.begin(), m_outstanding.end(),
+                                      [&](const outstanding& each) { return each.m_id == id; });
+    if (m_stopped || waiting == m_outstanding.end()) {
         return;
     }
-    const steady_time sent_at = m_outstanding->m_sent_at;
-    if (!m_environment.m_may_be_delayed(sent_at)) {
-        if (reactor::now() < sent_at + max_answer_time) {
+    const steady_time since = waiting->m_waiting_since;
+    if (!m_environment.m_may_be_delayed(since)) {
+        if (waiting != m_outstanding.begin() || reactor::now() < since + max_answer_time) {
             m_environment.m_loop.after(answer_timeout, [this, id] { check_timeout(id); });
             return;
         }
         m_environment.m_ledger.report("no answer and no closed connection: " + id);
     }
-    m_outstanding.reset();
+    m_outstanding.clear();
+    end_session(reconnect_pause);
+}
+
+void soak_caller::await_close() {
+    m_awaits_close_since = reactor::now();
+    schedule(answer_timeout, &soak_caller::check_closed);
+}
+
+void soak_caller::check_closed() {
+    const steady_time since = *m_awaits_close_since;
+    if (!m_environment.m_may_be_delayed(since)) {
+        if (reactor::now() < since + max_answer_time) {
+            schedule(answer_timeout, &soak_caller::check_closed);
+            return;
+        }
+        m_environment.m_ledger.report(std::string("connection not closed after ") +
+                                      (m_opened ? "the answers before a half-close" : "START was refused"));
+    }
     end_session(reconnect_pause);
 }
 
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -61,6 +61,13 @@
 constexpr std::array connection_limits{6, 9, max_connections};
 constexpr std::array account_rates{30, 600, 6000};
 
+constexpr int half_close_percent = 6;
+
+/// Callers that open a session while a gateway is told to stop, and the time over which they do, half of it
+/// before the signal.
+constexpr int moves_per_stop = 6;
+constexpr milliseconds moving_time{12};
+
 constexpr int grace_s = 6;
 
 constexpr const char* caller_account = "soak";
@@ -100,13 +107,18 @@
             (target.m_leaving_since && reactor::now() > *target.m_leaving_since + balancer_notice_time)) {
             return std::nullopt;
         }
-        return soak_environment::instance{.m_callers = gateway_address(picked, callers),
-                                          .m_life = target.m_life};
+        return instance(picked);
     };
     m_store.set_write_observer([this](const std::string&, const std::string& key,
                                       const std::string& value) { on_store_write(key, value); });
+    m_environment.m_half_close_percent = half_close_percent;
+    m_environment.m_on_start_ended = [this](const auto& life, const ended_start& what) {
+        judge_later(life,
+                    [this, what](const gateway_life& judged) { m_ledger.on_start_ended(what, judged); });
+    };
     m_environment.m_on_closed_unanswered = [this](const auto& life, const std::string& id) {
-        on_closed_unanswered(life, id);
+        judge_later(life,
+                    [this, id](const gateway_life& judged) { m_ledger.on_closed_unanswered(id, judged); });
     };
     m_environment.m_may_be_delayed = [this](steady_time since) {
         return m_instances_silent_until >= since ||
@@ -348,7 +360,28 @@
     }
 }
 
+soak_environment::instance soak_fleet::instance(int number) const {
+    return {.m_callers = gateway_address(number, callers),
+            .m_life = m_gateways[static_cast<std::size_t>(number)].m_life};
+}
+
 void soak_fleet::stop_gateway(int number) {
+    const auto below = [this](int limit) {
+        return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+    };
+    const int moves = std::min(moves_per_stop, m_options.m_callers / m_options.m_gateways);
+    for (int count = 0; count < moves; ++count) {
+        const auto moved = static_cast<std::size_t>(below(m_options.m_callers));
+        m_loop.after(milliseconds{below(static_cast<int>(moving_time.count()))}, [this, moved, number] {
+            if (m_gateways[static_cast<std::size_t>(number)].m_process) {
+                m_callers[moved]->move_to(instance(number));
+            }
+        });
+    }
+    m_loop.after(moving_time / 2, [this, number] { tell_to_stop(number); });
+}
+
+void soak_fleet::tell_to_stop(int number) {
     gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
     if (target.m_process && !target.m_leaving_since) {
         target.m_process->signal(SIGTERM);
@@ -488,7 +521,7 @@
              {"limits", {{"txIdleMs", 5000}}}};
     if (m_account_rate) {
         all["tenants"] = {{{"name", caller_account},
-                           {"apiKeys", {soak_caller::key}},
+                           {"apiKeys", soak_caller::keys},
                            {"ratePerS", *m_account_rate},
                            {"burstSize", *m_account_rate}}};
     }
@@ -535,15 +568,15 @@
     m_ledger.on_committed(what, leader != upstream, paused || reactor::now() < m_path_delayed_until);
 }
 
-void soak_fleet::on_closed_unanswered(const std::shared_ptr<const gateway_life>& life,
-                                      const std::string& id) {
-    m_loop.after(judgement_delay, [this, life, id] {
+void soak_fleet::judge_later(const std::shared_ptr<const gateway_life>& life,
+                             std::function<void(const gateway_life&)> judge) {
+    m_loop.after(judgement_delay, [this, life, judge = std::move(judge)] {
         for (int number = 0; number < m_options.m_gateways; ++number) {
             if (m_gateways[static_cast<std::size_t>(number)].m_life == life) {
                 poll_process(number);
             }
         }
-        m_ledger.on_closed_unanswered(id, *life);
+        judge(*life);
     });
 }
 
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -46,7 +46,8 @@
     /// Pauses the coordinator that next writes an order of promotion to the store, before it is answered.
     void pause_next_confirmed() { m_pauses_confirmed = true; }
     void resume_confirmed();
-    void stop_gateway(int number); ///< Sends SIGTERM; the gateway is restarted after it has ended.
+    /// Sends SIGTERM while some callers open sessions there; the gateway is restarted after it has ended.
+    void stop_gateway(int number);
     void reload_gateway(int number);
     void restart_gateway(int number); ///< Does nothing if the gateway is running.
     void set_store_path_faults(int gateway, const standin::relay_faults& faults);
@@ -82,6 +83,8 @@
     /// Stops the gateways one by one with SIGTERM and reports those with a non-zero exit code.
     void end_gateways();
 
+    /// Operations after which callers shut down their sending direction.
+    [[nodiscard]] std::uint64_t half_closes() const { return m_environment.m_half_closes; }
     [[nodiscard]] promise_ledger& ledger() { return m_ledger; }
     [[nodiscard]] const std::vector<soak_route>& routes() const { return m_routes; }
     [[nodiscard]] const soak_options& options() const { return m_options; }
@@ -101,6 +104,8 @@
 
     [[nodiscard]] anvilmount::endpoint loopback_endpoint(int offset) const;
     [[nodiscard]] anvilmount::endpoint gateway_address(int number, int offset) const;
+    [[nodiscard]] soak_environment::instance instance(int number) const;
+    void tell_to_stop(int number);
     void spawn(int number);
     [[nodiscard]] std::uintmax_t log_size(int number) const;
     void write_settings(int number) const;
@@ -113,7 +118,9 @@
     [[nodiscard]] std::string primary_of(int gateway) const;
     void on_store_write(const std::string& key, const std::string& value);
     void on_commit(const std::string& upstream, const standin::line_commit& what);
-    void on_closed_unanswered(const std::shared_ptr<const gateway_life>& life, const std::string& id);
+    /// Calls `judge` once it can be known whether the process has ended.
+    void judge_later(const std::shared_ptr<const gateway_life>& life,
+                     std::function<void(const gateway_life&)> judge);
     [[nodiscard]] static std::string group_name(int number) { return "group" + std::to_string(number); }
 
     anvilmount::reactor& m_loop;
