Soak: SIGHUP and revoked keys beside restarts and changes

What overlapped already: the configuration series with gateways that are told to stop in turn and one that is killed, the store's and upstreams' faults beside them, and callers that use connections until the process is gone. SIGHUP came only alone, with weight 1 of 53, with settings that had not changed; an account came and went, but never lost a key. In each series now the gateway that was told to stop and the next one are told to read changed settings 50 ms later, and one of the account's two keys is revoked in some of the changes. No draw is added to the schedule, so that other faults of earlier seeds stay.

--- a/test/soak/ledger_notices.cpp
+++ b/test/soak/ledger_notices.cpp
@@ -344,3 +344,23 @@
     }
     BOOST_TEST((other.size() != first.size() || other.front().m_fault != first.front().m_fault));
 }
+
+BOOST_AUTO_TEST_CASE(changes_restarts_and_settings_overlap_in_each_schedule) {
+    for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+        const auto events =
+            test::draw_schedule(seed, {.m_gateways = 4, .m_upstreams = 6, .m_duration = 12000ms});
+        const auto series = std::find_if(events.begin(), events.end(), [](const auto& each) {
+            return each.m_fault == test::soak_fault::configuration_series;
+        });
+        BOOST_REQUIRE((series != events.end()));
+        const auto beside = [&](test::soak_fault fault) {
+            return std::count_if(events.begin(), events.end(), [&](const auto& each) {
+                return each.m_fault == fault && each.m_at > series->m_at &&
+                       each.m_at < series->m_at + series->m_active_time;
+            });
+        };
+        BOOST_TEST(beside(test::soak_fault::stop) >= 3);
+        BOOST_TEST(beside(test::soak_fault::reload) >= 6);
+        BOOST_TEST(beside(test::soak_fault::kill) >= 1);
+    }
+}
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -209,6 +209,7 @@
     line("store", to_string(loopback_endpoint(store_path_ports + number)));
     line("promotion", to_string(loopback_endpoint(store_path_ports + number)));
     line("grace_s", std::to_string(grace_s));
+    line("log_level", m_reloads % 2 == 0 ? "info" : "debug");
 }
 
 void soak_fleet::spawn(int number) {
@@ -393,6 +394,7 @@
 void soak_fleet::reload_gateway(int number) {
     const gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
     if (target.m_process) {
+        ++m_reloads;
         write_settings(number);
         target.m_process->signal(SIGHUP);
     }
@@ -520,8 +522,14 @@
              {"services", services},
              {"limits", {{"txIdleMs", 5000}}}};
     if (m_account_rate) {
+        json keys = json::array();
+        for (std::size_t number = 0; number < soak_caller::keys.size(); ++number) {
+            if (m_revoked_key != number) {
+                keys.push_back(soak_caller::keys.at(number));
+            }
+        }
         all["tenants"] = {{{"name", caller_account},
-                           {"apiKeys", soak_caller::keys},
+                           {"apiKeys", keys},
                            {"ratePerS", *m_account_rate},
                            {"burstSize", *m_account_rate}}};
     }
@@ -544,10 +552,14 @@
 }
 
 void soak_fleet::change_placement() {
-    if (m_random() % 2 == 0) {
+    const auto kind = m_random() % 3;
+    if (kind == 0) {
         m_connection_limit = connection_limits[m_random() % connection_limits.size()];
+    } else if (m_account_rate && kind == 1) {
+        m_revoked_key = m_random() % soak_caller::keys.size();
     } else if (m_account_rate) {
         m_account_rate.reset();
+        m_revoked_key.reset();
     } else {
         m_account_rate = account_rates[m_random() % account_rates.size()];
     }
@@ -557,6 +569,7 @@
 void soak_fleet::restore_placement() {
     m_connection_limit = max_connections;
     m_account_rate.reset();
+    m_revoked_key.reset();
     change_configuration();
 }
 
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -48,7 +48,7 @@
     void resume_confirmed();
     /// Sends SIGTERM while some callers open sessions there; the gateway is restarted after it has ended.
     void stop_gateway(int number);
-    void reload_gateway(int number);
+    void reload_gateway(int number);  ///< With a changed setting.
     void restart_gateway(int number); ///< Does nothing if the gateway is running.
     void set_store_path_faults(int gateway, const standin::relay_faults& faults);
 
@@ -70,8 +70,8 @@
     [[nodiscard]] standin::row_store& store() { return m_store; }
     void change_configuration();
 
-    /// Changes the routes, and the number of gateways that hold connections to a group or the quota of the
-    /// callers' account, so that sessions are forwarded and moved.
+    /// Changes the routes, and the number of gateways that hold connections to a group, the quota of the
+    /// callers' account or its keys, so that sessions are forwarded, moved and ended.
     void change_placement();
     /// Goes back to the first configuration but for its revision.
     void restore_placement();
@@ -142,8 +142,10 @@
     std::uint64_t m_revision{1};
     int m_connection_limit;              ///< Of each upstream, as configured.
     std::optional<int> m_account_rate{}; ///< Set: callers have an account with this quota, per second.
+    std::optional<std::size_t> m_revoked_key{};         ///< Of soak_caller::keys; the account lacks it.
     anvilmount::steady_time m_instances_silent_until{}; ///< To each other.
     anvilmount::steady_time m_path_delayed_until{};     ///< Until then, delayed writes may still arrive.
+    int m_reloads{0};                                   ///< Each changes the log level.
     bool m_ending{false};
 };
 
--- a/test/soak/soak_schedule.cpp
+++ b/test/soak/soak_schedule.cpp
@@ -81,8 +81,8 @@
 constexpr milliseconds pause_after_turns{3000};
 constexpr milliseconds turn_interval{15000};
 
-/// Planned work, drawn apart: the configuration changes in a series while gateways are stopped in turn and
-/// another one is killed.
+/// Planned work, drawn apart: the configuration changes in a series while gateways are stopped in turn,
+/// some are told to read their settings again, and another one is killed.
 constexpr fault_kind series_kind{soak_fault::configuration_series, "configuration_series",
                                  target_kind::fleet, 0, milliseconds{6000}};
 constexpr std::uint32_t work_seed_salt = 0x90bcu;
@@ -90,6 +90,7 @@
 constexpr milliseconds work_interval{11000};
 constexpr milliseconds first_stop_of_work{600};
 constexpr milliseconds max_stop_gap{1600};
+constexpr milliseconds reload_after_stop{50};
 constexpr int max_stops_of_work = 5;
 constexpr milliseconds kill_of_work{2500};
 
@@ -172,7 +173,15 @@
         const int stops = std::min(size.m_gateways - 1, max_stops_of_work);
         milliseconds stop_at = at + first_stop_of_work;
         for (int turn = 0; turn < stops; ++turn) {
-            events.push_back(lease_event(soak_fault::stop, stop_at, (first + turn) % size.m_gateways));
+            const int stopped = (first + turn) % size.m_gateways;
+            events.push_back(lease_event(soak_fault::stop, stop_at, stopped));
+            // The settings change at all machines in turn: here at one that leaves and at the next one.
+            for (const int each : {stopped, (stopped + 1) % size.m_gateways}) {
+                events.push_back({.m_at = stop_at + reload_after_stop,
+                                  .m_active_time = min_active_time,
+                                  .m_fault = soak_fault::reload,
+                                  .m_target = each});
+            }
             stop_at += min_active_time + milliseconds{below(max_stop_gap.count())};
         }
         const int killed = (first + stops) % size.m_gateways;
