--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -14,6 +14,8 @@
 /// The configured timeout of a statement is below 2 s.
 constexpr milliseconds max_answer_time{15000};
 constexpr milliseconds reconnect_pause{150};
+/// After START was refused: longest pause.
+constexpr int max_start_retry_ms = 10;
 constexpr int item_count = 40;
 constexpr int max_statements = 5;
 constexpr std::array no_effect_codes{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"};
@@ -130,7 +132,8 @@
                                                          .m_was_answered = m_awaits_close_since.has_value(),
                                                          .m_was_reset = reason != close_reason::by_peer});
     }
-    end_session(reconnect_pause);
+    const bool start_refused = !m_opened && m_awaits_close_since;
+    end_session(start_refused ? milliseconds{draw(max_start_retry_ms)} : reconnect_pause);
 }
 
 void soak_caller::on_line(const std::string& line) {
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -101,7 +101,21 @@
       m_environment{.m_loop = loop, .m_ledger = m_ledger, .m_random = m_random},
       m_connection_limit(max_connections) {
     m_environment.m_pick_instance = [this]() -> std::optional<soak_environment::instance> {
-        const int picked = std::uniform_int_distribution<int>(0, m_options.m_gateways - 1)(m_random);
+        const auto below = [this](int limit) {
+            return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+        };
+        std::vector<int> leaving;
+        for (int number = 0; number < m_options.m_gateways; ++number) {
+            const gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
+            if (each.m_process && each.m_leaving_since) {
+                leaving.push_back(number);
+            }
+        }
+        // With most gateways out of rotation, all get connections: some come as a gateway stops listening.
+        if (!leaving.empty() && below(2) == 0) {
+            return instance(leaving[static_cast<std::size_t>(below(static_cast<int>(leaving.size())))]);
+        }
+        const int picked = below(m_options.m_gateways);
         const gateway_process& target = m_gateways[static_cast<std::size_t>(picked)];
         if (!target.m_process ||
             (target.m_leaving_since && reactor::now() > *target.m_leaving_since + balancer_notice_time)) {
