Soak: tell a START that waited to be accepted from a handshake under way

A reset without a line was a promise broken only if the caller had seen the connection established before SIGTERM, but gateways stop listening two seconds later. Callers look now whether the gateway's kernel has acknowledged their START line: then the connection was accepted or waited to be, and no handshake was under way.

--- a/test/soak/ledger_notices.cpp
+++ b/test/soak/ledger_notices.cpp
@@ -298,6 +298,9 @@
     BOOST_TEST(outcome(before, leaving) == "connection reset without an answer to START");
     BOOST_TEST(outcome(after, leaving) == "counted");
     BOOST_TEST(outcome(unseen, leaving) == "counted");
+    test::ended_start received = after;
+    received.m_was_received = true;
+    BOOST_TEST(outcome(received, leaving) == "connection reset without an answer to START");
     for (const auto& each : {before, after, unseen}) {
         BOOST_TEST(outcome(each, {}) == "connection reset without an answer to START");
         BOOST_TEST(outcome(each, killed) == "none");
--- a/test/soak/promise_ledger.cpp
+++ b/test/soak/promise_ledger.cpp
@@ -136,8 +136,8 @@
         return;
     }
     const steady_time opened_at = what.m_connected_at.value_or(what.m_ended_at);
-    if (!what.m_was_answered && what.m_was_reset && !life.m_killed && life.m_told_to_stop &&
-        opened_at >= *life.m_told_to_stop) {
+    if (!what.m_was_answered && !what.m_was_received && what.m_was_reset && !life.m_killed &&
+        life.m_told_to_stop && opened_at >= *life.m_told_to_stop) {
         const auto after_signal = [&](steady_time when) {
             return std::chrono::duration_cast<anvilmount::milliseconds>(when - *life.m_told_to_stop);
         };
--- a/test/soak/promise_ledger.hpp
+++ b/test/soak/promise_ledger.hpp
@@ -63,13 +63,16 @@
 struct ended_start {
     std::optional<anvilmount::steady_time> m_connected_at{}; ///< Unset: reset before the caller noticed.
     anvilmount::steady_time m_ended_at{};
+    /// The kernel of the gateway has acknowledged the START line: the connection was accepted, or waited to
+    /// be.
+    bool m_was_received{false};
     bool m_was_answered{false}; ///< With one ERROR line.
     bool m_was_reset{false};
 };
 
-/// A connection without any line that ended by a reset, and that its caller saw established after SIGTERM
-/// if at all: the kernel resets a handshake that is under way as a listening port closes. Times since
-/// SIGTERM.
+/// A connection without any line that a gateway which was told to stop has reset, and of which no START
+/// line was acknowledged: the kernel resets a handshake that is under way as a listening port closes. Times
+/// since SIGTERM.
 struct reset_start {
     std::optional<anvilmount::milliseconds> m_connected_after{};
     anvilmount::milliseconds m_reset_after{};
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -14,6 +14,7 @@
 /// The configured timeout of a statement is below 2 s.
 constexpr milliseconds max_answer_time{15000};
 constexpr milliseconds reconnect_pause{150};
+constexpr milliseconds start_watch_interval{1};
 /// After START was refused: longest pause.
 constexpr int max_start_retry_ms = 10;
 constexpr int item_count = 40;
@@ -72,6 +73,7 @@
     m_opened = false;
     m_finished = false;
     m_connected_at.reset();
+    m_start_received = false;
     m_awaits_close_since.reset();
     m_unread.clear();
     m_plan.clear();
@@ -85,6 +87,7 @@
              [this, key] {
                  m_connected_at = reactor::now();
                  m_stream->write("START " + m_route.m_database + " " + key + "\r\n");
+                 watch_start();
              },
          .m_on_bytes =
              [this, session = m_session](std::string_view bytes) {
@@ -129,6 +132,7 @@
     if (!m_opened && !m_stream->was_refused()) {
         m_environment.m_on_start_ended(m_instance_life, {.m_connected_at = m_connected_at,
                                                          .m_ended_at = reactor::now(),
+                                                         .m_was_received = m_start_received,
                                                          .m_was_answered = m_awaits_close_since.has_value(),
                                                          .m_was_reset = reason != close_reason::by_peer});
     }
@@ -325,6 +329,17 @@
     end_session(reconnect_pause);
 }
 
+void soak_caller::watch_start() {
+    if (m_opened || m_awaits_close_since) {
+        return;
+    }
+    // After a reset nothing is unacknowledged either; that it has not come yet is looked at second.
+    m_start_received = m_stream->unacknowledged_bytes() == 0 && !m_stream->has_unreported_input();
+    if (!m_start_received) {
+        schedule(start_watch_interval, &soak_caller::watch_start);
+    }
+}
+
 void soak_caller::await_close() {
     m_awaits_close_since = reactor::now();
     schedule(answer_timeout, &soak_caller::check_closed);
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -86,6 +86,8 @@
     void send_next();
     /// Sends all that is planned and shuts down the sending direction.
     void send_all_and_finish();
+    /// Looks whether START was acknowledged, until a line arrives.
+    void watch_start();
     void await_close();
     void check_closed();
     void schedule(anvilmount::milliseconds delay, void (soak_caller::*action)());
@@ -102,6 +104,7 @@
     bool m_stopped{false};
     bool m_finished{false}; ///< The sending direction is shut down.
     std::optional<anvilmount::steady_time> m_connected_at;
+    bool m_start_received{false}; ///< Acknowledged by the kernel of the gateway.
     /// When the last line arrived that this connection may bring but for the announcement of its end.
     std::optional<anvilmount::steady_time> m_awaits_close_since;
     bool m_in_transaction{false};          ///< The current operation is a transaction.
