Soak: stop the gateways together at the end of a run

They were stopped one after the other, each for up to its grace period of 6 s (the stand-in of the store does not answer meanwhile). Exit codes are checked as before.

--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -609,12 +609,16 @@
 
 void soak_fleet::end_gateways() {
     m_ending = true;
+    for (const gateway_process& each : m_gateways) {
+        if (each.m_process) {
+            each.m_process->signal(SIGTERM);
+        }
+    }
     for (int number = 0; number < m_options.m_gateways; ++number) {
         gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
         if (!each.m_process) {
             continue;
         }
-        each.m_process->signal(SIGTERM);
         const int code = each.m_process->wait();
         if (code != 0) {
             m_ledger.report("gateway " + std::to_string(number) + " ended after SIGTERM with exit code " +
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -80,7 +80,7 @@
     /// again a moment later.
     void restore_store(anvilmount::milliseconds age);
 
-    /// Stops the gateways one by one with SIGTERM and reports those with a non-zero exit code.
+    /// Stops the gateways with SIGTERM and reports those with a non-zero exit code.
     void end_gateways();
 
     /// Operations after which callers shut down their sending direction.
