--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -61,6 +61,13 @@
 constexpr std::array connection_limits{6, 9, max_connections};
 constexpr std::array account_rates{30, 600, 6000};
 
+constexpr int half_close_percent = 6;
+
+/// Callers that open a session while a gateway is told to stop, and the time over which they do, half of it
+/// before the signal.
+constexpr int moves_per_stop = 6;
+constexpr milliseconds moving_time{12};
+
 constexpr int grace_s = 6;
 
 constexpr const char* caller_account = "soak";
@@ -94,19 +101,38 @@
       m_environment{.m_loop = loop, .m_ledger = m_ledger, .m_random = m_random},
       m_connection_limit(max_connections) {
     m_environment.m_pick_instance = [this]() -> std::optional<soak_environment::instance> {
-        const int picked = std::uniform_int_distribution<int>(0, m_options.m_gateways - 1)(m_random);
+        const auto below = [this](int limit) {
+            return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+        };
+        std::vector<int> leaving;
+        for (int number = 0; number < m_options.m_gateways; ++number) {
+            const gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
+            if (each.m_process && each.m_leaving_since) {
+                leaving.push_back(number);
+            }
+        }
+        // With most gateways out of rotation, all get connections: some come as a gateway stops listening.
+        if (!leaving.empty() && below(2) == 0) {
+            return instance(leaving[static_cast<std::size_t>(below(static_cast<int>(leaving.size())))]);
+        }
+        const int picked = below(m_options.m_gateways);
         const gateway_process& target = m_gateways[static_cast<std::size_t>(picked)];
         if (!target.m_process ||
             (target.m_leaving_since && reactor::now() > *target.m_leaving_since + balancer_notice_time)) {
             return std::nullopt;
         }
-        return soak_environment::instance{.m_callers = gateway_address(picked, callers),
-                                          .m_life = target.m_life};
+        return instance(picked);
     };
     m_store.set_write_observer([this](const std::string&, const std::string& key,
                                       const std::string& value) { on_store_write(key, value); });
+    m_environment.m_half_close_percent = half_close_percent;
+    m_environment.m_on_start_ended = [this](const auto& life, const ended_start& what) {
+        judge_later(life,
+                    [this, what](const gateway_life& judged) { m_ledger.on_start_ended(what, judged); });
+    };
     m_environment.m_on_closed_unanswered = [this](const auto& life, const std::string& id) {
-        on_closed_unanswered(life, id);
+        judge_later(life,
+                    [this, id](const gateway_life& judged) { m_ledger.on_closed_unanswered(id, judged); });
     };
     m_environment.m_may_be_delayed = [this](steady_time since) {
         return m_instances_silent_until >= since ||
@@ -197,6 +223,7 @@
     line("store", to_string(loopback_endpoint(store_path_ports + number)));
     line("promotion", to_string(loopback_endpoint(store_path_ports + number)));
     line("grace_s", std::to_string(grace_s));
+    line("log_level", m_reloads % 2 == 0 ? "info" : "debug");
 }
 
 void soak_fleet::spawn(int number) {
@@ -348,7 +375,28 @@
     }
 }
 
+soak_environment::instance soak_fleet::instance(int number) const {
+    return {.m_callers = gateway_address(number, callers),
+            .m_life = m_gateways[static_cast<std::size_t>(number)].m_life};
+}
+
 void soak_fleet::stop_gateway(int number) {
+    const auto below = [this](int limit) {
+        return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+    };
+    const int moves = std::min(moves_per_stop, m_options.m_callers / m_options.m_gateways);
+    for (int count = 0; count < moves; ++count) {
+        const auto moved = static_cast<std::size_t>(below(m_options.m_callers));
+        m_loop.after(milliseconds{below(static_cast<int>(moving_time.count()))}, [this, moved, number] {
+            if (m_gateways[static_cast<std::size_t>(number)].m_process) {
+                m_callers[moved]->move_to(instance(number));
+            }
+        });
+    }
+    m_loop.after(moving_time / 2, [this, number] { tell_to_stop(number); });
+}
+
+void soak_fleet::tell_to_stop(int number) {
     gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
     if (target.m_process && !target.m_leaving_since) {
         target.m_process->signal(SIGTERM);
@@ -360,6 +408,7 @@
 void soak_fleet::reload_gateway(int number) {
     const gateway_process& target = m_gateways[static_cast<std::size_t>(number)];
     if (target.m_process) {
+        ++m_reloads;
         write_settings(number);
         target.m_process->signal(SIGHUP);
     }
@@ -487,8 +536,14 @@
              {"services", services},
              {"limits", {{"txIdleMs", 5000}}}};
     if (m_account_rate) {
+        json keys = json::array();
+        for (std::size_t number = 0; number < soak_caller::keys.size(); ++number) {
+            if (m_revoked_key != number) {
+                keys.push_back(soak_caller::keys.at(number));
+            }
+        }
         all["tenants"] = {{{"name", caller_account},
-                           {"apiKeys", {soak_caller::key}},
+                           {"apiKeys", keys},
                            {"ratePerS", *m_account_rate},
                            {"burstSize", *m_account_rate}}};
     }
@@ -511,10 +566,14 @@
 }
 
 void soak_fleet::change_placement() {
-    if (m_random() % 2 == 0) {
+    const auto kind = m_random() % 3;
+    if (kind == 0) {
         m_connection_limit = connection_limits[m_random() % connection_limits.size()];
+    } else if (m_account_rate && kind == 1) {
+        m_revoked_key = m_random() % soak_caller::keys.size();
     } else if (m_account_rate) {
         m_account_rate.reset();
+        m_revoked_key.reset();
     } else {
         m_account_rate = account_rates[m_random() % account_rates.size()];
     }
@@ -524,6 +583,7 @@
 void soak_fleet::restore_placement() {
     m_connection_limit = max_connections;
     m_account_rate.reset();
+    m_revoked_key.reset();
     change_configuration();
 }
 
@@ -535,26 +595,30 @@
     m_ledger.on_committed(what, leader != upstream, paused || reactor::now() < m_path_delayed_until);
 }
 
-void soak_fleet::on_closed_unanswered(const std::shared_ptr<const gateway_life>& life,
-                                      const std::string& id) {
-    m_loop.after(judgement_delay, [this, life, id] {
+void soak_fleet::judge_later(const std::shared_ptr<const gateway_life>& life,
+                             std::function<void(const gateway_life&)> judge) {
+    m_loop.after(judgement_delay, [this, life, judge = std::move(judge)] {
         for (int number = 0; number < m_options.m_gateways; ++number) {
             if (m_gateways[static_cast<std::size_t>(number)].m_life == life) {
                 poll_process(number);
             }
         }
-        m_ledger.on_closed_unanswered(id, *life);
+        judge(*life);
     });
 }
 
 void soak_fleet::end_gateways() {
     m_ending = true;
+    for (const gateway_process& each : m_gateways) {
+        if (each.m_process) {
+            each.m_process->signal(SIGTERM);
+        }
+    }
     for (int number = 0; number < m_options.m_gateways; ++number) {
         gateway_process& each = m_gateways[static_cast<std::size_t>(number)];
         if (!each.m_process) {
             continue;
         }
-        each.m_process->signal(SIGTERM);
         const int code = each.m_process->wait();
         if (code != 0) {
             m_ledger.report("gateway " + std::to_string(number) + " ended after SIGTERM with exit code " +
