--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -199,6 +199,19 @@
     BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(each_of_many_statements_that_cross_the_end_of_their_session_is_answered) {
+    served_connection served;
+    served.serve_caller();
+    served.m_fleet.instance(1).leave(grace, [] {});
+    constexpr int count = 60;
+    for (int number = 0; number < count; ++number) {
+        served.m_peer.write("QUERY q" + std::to_string(number) + " WRITE 1 a\r\n");
+    }
+    served.run_for(100ms);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 2 + count);
+    BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_end_of_its_forwarded_session_is_answered) {
     served_connection served;
     served.serve_forwarded();
