Wait until an instance stands still before a test goes on

caller_protocol/a_write_is_not_sent_to_an_instance_that_has_gone failed in 2 of 4 runs: the signal is sent, but a thread may still handle the statement that the test sends next. The tests that send SIGSTOP ahead of what must not be handled now wait for the stop (waitid).

--- a/test/correctness/caller_protocol.cpp
+++ b/test/correctness/caller_protocol.cpp
@@ -255,7 +255,7 @@
     BOOST_REQUIRE(caller.read_to('C'));
     BOOST_REQUIRE(caller.read_to('Z'));
     // The instance finds the statement first, and then the end of its connection to the other one.
-    m_fleet.instance(1 - m_home).signal(SIGSTOP);
+    m_fleet.instance(1 - m_home).suspend();
     caller.query("INSERT INTO t VALUES (1)");
     m_fleet.instance(m_home).kill_now();
     m_fleet.instance(1 - m_home).signal(SIGCONT);
--- a/test/correctness/leaving.cpp
+++ b/test/correctness/leaving.cpp
@@ -244,7 +244,7 @@
     // The instance finds each COMMIT and the end of its time together.
     all.instance(home).signal(SIGTERM);
     std::this_thread::sleep_for(300ms);
-    all.instance(home).signal(SIGSTOP);
+    all.instance(home).suspend();
     for (const auto& caller : callers) {
         caller->query("COMMIT");
     }
@@ -276,7 +276,7 @@
 BOOST_AUTO_TEST_CASE(a_caller_that_waits_to_be_accepted_by_a_leaving_instance_is_refused) {
     fleet all({.m_instances = 1, .m_upstreams = 1});
     constexpr int waiting = 600; // More than the shards accept at once.
-    all.instance(0).signal(SIGSTOP);
+    all.instance(0).suspend();
     std::vector<std::unique_ptr<raw_caller>> callers;
     for (int number = 0; number < waiting; ++number) {
         callers.push_back(std::make_unique<raw_caller>(all.caller()));
--- a/test/correctness/relay_faults.cpp
+++ b/test/correctness/relay_faults.cpp
@@ -55,7 +55,7 @@
     BOOST_REQUIRE(test::eventually([&] { return statements(all, "running") == 1; }));
     BOOST_REQUIRE(PQsendQuery(session.native(), sql.c_str()) == 1);
     BOOST_REQUIRE(test::eventually([&] { return statements(all, "waiting") == 1; }));
-    all.instance(0).signal(SIGSTOP);
+    all.instance(0).suspend();
     std::this_thread::sleep_for(1500ms);
     all.relay_fault(0, R"({"cut":true})");
     all.relay_fault(0, R"({"cut":false})");
--- a/test/support/fleet.cpp
+++ b/test/support/fleet.cpp
@@ -106,6 +106,13 @@
     }
 }
 
+void child_process::suspend() const {
+    signal(SIGSTOP);
+    siginfo_t stopped{};
+    require(waitid(P_PID, static_cast<id_t>(m_id), &stopped, WSTOPPED | WNOWAIT) == 0,
+            "cannot stop a process");
+}
+
 void child_process::kill_now() {
     if (m_id > 0) {
         ::kill(m_id, SIGKILL);
--- a/test/support/fleet.hpp
+++ b/test/support/fleet.hpp
@@ -29,6 +29,8 @@
     child_process& operator=(const child_process&) = delete;
 
     void signal(int number) const;
+    /// Stops the process with SIGSTOP, and returns once all its threads stand still.
+    void suspend() const;
     void kill_now();
 
     /// Waits for the process to end. Returns its exit code, or 128 plus the number of the signal that
