Test that a caller that is gone is forgotten once its statement is answered

A caller that closes its connection with a statement outstanding can't be told from one that has closed its sending direction only. The case shows over TCP that the connection and the session end with the answer.

--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -131,19 +131,27 @@
 /// A caller that has connected to `where` and sent START.
 class waiting_caller {
 public:
-    explicit waiting_caller(const endpoint& where) {
+    explicit waiting_caller(const endpoint& where, const std::string& start = "START pay caller\r\n") {
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(where.m_port);
         inet_pton(AF_INET, where.m_address.c_str(), &address.sin_addr);
         BOOST_REQUIRE(connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-        const std::string start = "START pay caller\r\n";
         BOOST_REQUIRE(send(m_fd, start.data(), start.size(), 0) == static_cast<ssize_t>(start.size()));
     }
     ~waiting_caller() { close(m_fd); }
     waiting_caller(const waiting_caller&) = delete;
     waiting_caller& operator=(const waiting_caller&) = delete;
 
+    /// Runs until `size` bytes were received. A caller that closes with bytes unread resets its connection.
+    void receive(std::size_t size) {
+        std::string bytes(size, '\0');
+        while (recv(m_fd, bytes.data(), size, MSG_PEEK | MSG_DONTWAIT) < static_cast<ssize_t>(size)) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents);
+        }
+        BOOST_REQUIRE(recv(m_fd, bytes.data(), size, 0) == static_cast<ssize_t>(size));
+    }
+
     /// Runs until the connection ends; returns what was received, and "reset" if it was reset.
     std::string received_to_end() {
         std::array<char, 4096> chunk{};
@@ -507,3 +515,22 @@
     BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
     BOOST_TEST(served.m_peer.is_closed());
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_is_gone_is_forgotten_once_its_statement_is_answered) {
+    served_connection served;
+    const auto limits = test::unlimited_callers(served.m_loop);
+    auto listener = tcp_listener::listen(served.m_loop.m_loop, test::test_address(41), [&](int fd) {
+        line_protocol::serve_caller(served.m_loop.m_loop, fd, served.m_fleet.instance(1), limits);
+    });
+    {
+        waiting_caller caller(test::test_address(41), "START pay caller\r\nQUERY last WRITE 1 a\r\n");
+        caller.receive(std::string("READY I -\r\n").size());
+    }
+    (void)served.m_peer.received();
+    BOOST_TEST(limits->has_connections());
+    served.run_for(200ms);
+    (void)served.m_peer.received();
+    served.m_loop.run_until([&] { return !limits->has_connections(); });
+    BOOST_TEST(served.m_fleet.instance(1).state_dump().at("sessions") == 0);
+    BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
+}
