--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -534,3 +534,31 @@
     BOOST_TEST(served.m_fleet.instance(1).state_dump().at("sessions") == 0);
     BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(
+    a_statement_before_the_end_that_the_caller_asks_for_is_answered_in_a_forwarded_session) {
+    forwarding_instance site([](forwarding_instance& at, tcp_stream& stream) {
+        if (at.m_forwarded.find("QUERY") == std::string::npos) {
+            stream.write("READY I -\r\n");
+        }
+    });
+    site.m_caller.write("QUERY last WRITE 1 a\r\nTERMINATE\r\n");
+    site.m_loop.run_until([&] {
+        (void)site.m_caller.received();
+        return site.m_forwarded.find("QUERY last") != std::string::npos;
+    });
+    (void)site.m_caller.received();
+    site.m_streams.back()->write("COMPLETE proof\r\nREADY I 1.2\r\n");
+    site.run_until_ready(2);
+    BOOST_TEST(site.m_caller.received() == "READY I -\r\nCOMPLETE proof\r\nREADY I 1.2\r\n");
+    BOOST_TEST(site.m_caller.is_closed());
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_before_the_end_that_the_caller_asks_for_is_answered) {
+    served_connection served;
+    served.serve_caller();
+    served.m_peer.write("QUERY last WRITE 1 a\r\nTERMINATE\r\n");
+    served.run_statements(1);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
+    BOOST_TEST(served.m_peer.is_closed());
+}
