--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -562,3 +562,20 @@
     BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
     BOOST_TEST(served.m_peer.is_closed());
 }
+
+BOOST_AUTO_TEST_CASE(all_statements_that_were_read_before_a_session_ends_are_answered) {
+    constexpr int sent_ahead = 20;
+    served_connection served;
+    allow_long_statements(served.m_fleet);
+    served.serve_caller();
+    served.m_fleet.m_upstreams.at("orders-1").m_work_time = 60000ms;
+    std::string statements;
+    for (int number = 0; number < sent_ahead; ++number) {
+        statements += "QUERY ahead WRITE 1 a\r\n";
+    }
+    served.m_peer.write(statements);
+    served.run_for(100ms);
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(grace);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 2 + sent_ahead);
+}
