--- a/test/gateway/client_accounts.cpp
+++ b/test/gateway/client_accounts.cpp
@@ -410,6 +410,59 @@
     check_session_has_ended(caller, fleet, removed);
 }
 
+/// Guards against a write that is said not to have run since a BEGIN came before it, though that BEGIN was
+/// refused and the write stood alone.
+BOOST_AUTO_TEST_CASE(a_write_after_a_refused_begin_is_in_doubt_when_its_serving_instance_is_lost) {
+    constexpr int instances = 12;
+    test::event_loop loop;
+    account_fleet accounts(instances, limit, test::test_address(0));
+    test::gateway_fleet& fleet = accounts.m_fleet;
+    std::string received;
+    std::vector<std::unique_ptr<tcp_listener>> listeners;
+    std::vector<std::shared_ptr<tcp_stream>> streams;
+    int forwarding = 0;
+    for (int number = 1; number <= instances; ++number) {
+        auto listener = tcp_listener::listen(loop.m_loop, test::test_address(number), [&](int fd) {
+            streams.push_back(tcp_stream::adopt(loop.m_loop, fd,
+                                                {.m_on_bytes =
+                                                     [&](std::string_view bytes) {
+                                                         received.append(bytes);
+                                                         if (bytes.starts_with("START")) {
+                                                             streams.back()->write("READY I -\r\n");
+                                                         }
+                                                     },
+                                                 .m_on_closed = [](close_reason) {}}));
+        });
+        listeners.push_back(std::move(listener.value()));
+        forwarding = fleet.instance(number).forwarding_target("pay", "one") ? number : forwarding;
+    }
+    BOOST_REQUIRE(forwarding > 0);
+    raw_peer caller;
+    line_protocol::serve_caller(loop.m_loop, caller.served_end(), fleet.instance(forwarding),
+                                test::unlimited_callers(loop));
+    caller.write("START pay " + key_one + "\r\n");
+    loop.run_until([&] { return caller.received() == "READY I -\r\n"; });
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(limit);
+    caller.write("QUERY q1 BEGIN\r\n");
+    loop.run_until([&] {
+        (void)caller.received();
+        return received.find("REFUSED q1 BUSY\r\n") != std::string::npos;
+    });
+    fleet.m_store.m_unreachable = false;
+    fleet.run_for(6000ms);
+    caller.write("QUERY q2 WRITE b\r\n");
+    loop.run_until([&] {
+        (void)caller.received();
+        return received.find("QUERY q2 WRITE b\r\n") != std::string::npos;
+    });
+    streams.back()->close();
+    loop.run_until([&] { return caller.received().find("connect again") != std::string::npos; });
+    BOOST_TEST_CONTEXT(caller.received()) {
+        BOOST_TEST(caller.received().find("ERROR INDOUBT ") != std::string::npos);
+    }
+}
+
 /// Guards against a key that reaches another instance, the log, the metrics or the state dump, and against
 /// a forwarded statement that is not checked where it arrived.
 BOOST_AUTO_TEST_CASE(a_key_never_leaves_the_instance_that_received_it) {
