Test that a gone caller is forgotten though its serving instance stays silent

A caller that has closed its connection with a forwarded statement outstanding holds its connection, the one to the serving instance, and a descriptor of each, as long as the serving instance keeps its end open without answering (frozen, say).

--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -592,3 +592,36 @@
     served.run_for(grace);
     BOOST_TEST(ready_lines(served.m_peer.received()) == 2 + sent_ahead);
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_is_gone_is_forgotten_though_the_serving_instance_stays_silent) {
+    // Far longer than the deadline of the statement, 1 s.
+    constexpr milliseconds forgotten_within{5000};
+    forwarding_instance site(
+        [](forwarding_instance& at, tcp_stream& stream) {
+            if (at.m_forwarded.find("QUERY") == std::string::npos) {
+                stream.write("READY I -\r\n");
+            }
+        },
+        {.m_start_limit = 200ms, .m_message_limit = 200ms, .m_unread_limit = 200ms});
+    int forwarding = 1;
+    while (!site.m_fleet.instance(forwarding).forwarding_target("pay")) {
+        ++forwarding;
+    }
+    auto listener = tcp_listener::listen(site.m_loop.m_loop, test::test_address(42), [&](int fd) {
+        line_protocol::serve_caller(site.m_loop.m_loop, fd, site.m_fleet.instance(forwarding),
+                                    site.m_limits);
+    });
+    {
+        waiting_caller caller(test::test_address(42), "START pay caller\r\nQUERY last WRITE 1 a\r\n");
+        caller.receive(std::string("READY I -\r\n").size());
+        site.m_loop.run_until([&] { return site.m_forwarded.find("QUERY") != std::string::npos; });
+    }
+    bool is_over = false;
+    site.m_loop.m_loop.after(forgotten_within, [&] { is_over = true; });
+    site.m_loop.run_until([&] {
+        site.m_fleet.run_for(1ms);
+        return is_over;
+    });
+    // The connection of site.m_caller is left.
+    BOOST_TEST(site.m_limits->close_for_exit() == 1);
+}
