--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -131,19 +131,27 @@
 /// A caller that has connected to `where` and sent START.
 class waiting_caller {
 public:
-    explicit waiting_caller(const endpoint& where) {
+    explicit waiting_caller(const endpoint& where, const std::string& start = "START pay caller\r\n") {
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(where.m_port);
         inet_pton(AF_INET, where.m_address.c_str(), &address.sin_addr);
         BOOST_REQUIRE(connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-        const std::string start = "START pay caller\r\n";
         BOOST_REQUIRE(send(m_fd, start.data(), start.size(), 0) == static_cast<ssize_t>(start.size()));
     }
     ~waiting_caller() { close(m_fd); }
     waiting_caller(const waiting_caller&) = delete;
     waiting_caller& operator=(const waiting_caller&) = delete;
 
+    /// Runs until `size` bytes were received. A caller that closes with bytes unread resets its connection.
+    void receive(std::size_t size) {
+        std::string bytes(size, '\0');
+        while (recv(m_fd, bytes.data(), size, MSG_PEEK | MSG_DONTWAIT) < static_cast<ssize_t>(size)) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents);
+        }
+        BOOST_REQUIRE(recv(m_fd, bytes.data(), size, 0) == static_cast<ssize_t>(size));
+    }
+
     /// Runs until the connection ends; returns what was received, and "reset" if it was reset.
     std::string received_to_end() {
         std::array<char, 4096> chunk{};
@@ -520,3 +528,100 @@
     BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
     BOOST_TEST(served.m_peer.is_closed());
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_is_gone_is_forgotten_once_its_statement_is_answered) {
+    served_connection served;
+    const auto limits = test::unlimited_callers(served.m_loop);
+    auto listener = tcp_listener::listen(served.m_loop.m_loop, test::test_address(41), [&](int fd) {
+        line_protocol::serve_caller(served.m_loop.m_loop, fd, served.m_fleet.instance(1), limits);
+    });
+    {
+        waiting_caller caller(test::test_address(41), "START pay caller\r\nQUERY last WRITE 1 a\r\n");
+        caller.receive(std::string("READY I -\r\n").size());
+    }
+    (void)served.m_peer.received();
+    BOOST_TEST(limits->has_connections());
+    served.run_for(200ms);
+    (void)served.m_peer.received();
+    served.m_loop.run_until([&] { return !limits->has_connections(); });
+    BOOST_TEST(served.m_fleet.instance(1).state_dump().at("sessions") == 0);
+    BOOST_TEST(served.m_fleet.m_upstreams.m_runs.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_statement_before_the_end_that_the_caller_asks_for_is_answered_in_a_forwarded_session) {
+    forwarding_instance site([](forwarding_instance& at, tcp_stream& stream) {
+        if (at.m_forwarded.find("QUERY") == std::string::npos) {
+            stream.write("READY I -\r\n");
+        }
+    });
+    site.m_caller.write("QUERY last WRITE 1 a\r\nTERMINATE\r\n");
+    site.m_loop.run_until([&] {
+        (void)site.m_caller.received();
+        return site.m_forwarded.find("QUERY last") != std::string::npos;
+    });
+    (void)site.m_caller.received();
+    site.m_streams.back()->write("COMPLETE proof\r\nREADY I 1.2\r\n");
+    site.run_until_ready(2);
+    BOOST_TEST(site.m_caller.received() == "READY I -\r\nCOMPLETE proof\r\nREADY I 1.2\r\n");
+    BOOST_TEST(site.m_caller.is_closed());
+}
+
+BOOST_AUTO_TEST_CASE(a_statement_before_the_end_that_the_caller_asks_for_is_answered) {
+    served_connection served;
+    served.serve_caller();
+    served.m_peer.write("QUERY last WRITE 1 a\r\nTERMINATE\r\n");
+    served.run_statements(1);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 3);
+    BOOST_TEST(served.m_peer.is_closed());
+}
+
+BOOST_AUTO_TEST_CASE(all_statements_that_were_read_before_a_session_ends_are_answered) {
+    constexpr int sent_ahead = 100;
+    served_connection served;
+    allow_long_statements(served.m_fleet);
+    served.serve_caller();
+    served.m_fleet.m_upstreams.at("orders-1").m_work_time = 60000ms;
+    std::string statements;
+    for (int number = 0; number < sent_ahead; ++number) {
+        statements += "QUERY ahead WRITE 1 a\r\n";
+    }
+    served.m_peer.write(statements);
+    served.run_for(100ms);
+    served.m_fleet.instance(1).leave(grace, [] {});
+    served.run_for(grace);
+    BOOST_TEST(ready_lines(served.m_peer.received()) == 2 + sent_ahead);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_is_gone_is_forgotten_though_the_serving_instance_stays_silent) {
+    // Far longer than the deadline of the statement, 1 s.
+    constexpr milliseconds forgotten_within{5000};
+    forwarding_instance site(
+        [](forwarding_instance& at, tcp_stream& stream) {
+            if (at.m_forwarded.find("QUERY") == std::string::npos) {
+                stream.write("READY I -\r\n");
+            }
+        },
+        {.m_start_limit = 200ms, .m_message_limit = 200ms, .m_unread_limit = 200ms});
+    int forwarding = 1;
+    while (!site.m_fleet.instance(forwarding).forwarding_target("pay")) {
+        ++forwarding;
+    }
+    auto listener = tcp_listener::listen(site.m_loop.m_loop, test::test_address(42), [&](int fd) {
+        line_protocol::serve_caller(site.m_loop.m_loop, fd, site.m_fleet.instance(forwarding),
+                                    site.m_limits);
+    });
+    {
+        waiting_caller caller(test::test_address(42), "START pay caller\r\nQUERY last WRITE 1 a\r\n");
+        caller.receive(std::string("READY I -\r\n").size());
+        site.m_loop.run_until([&] { return site.m_forwarded.find("QUERY") != std::string::npos; });
+    }
+    bool is_over = false;
+    site.m_loop.m_loop.after(forgotten_within, [&] { is_over = true; });
+    site.m_loop.run_until([&] {
+        site.m_fleet.run_for(1ms);
+        return is_over;
+    });
+    // The connection of site.m_caller is left.
+    BOOST_TEST(site.m_limits->close_for_exit() == 1);
+}
