--- a/libs/gateway/include/anvilmount/gateway/gateway.hpp
+++ b/libs/gateway/include/anvilmount/gateway/gateway.hpp
@@ -129,6 +129,9 @@
     [[nodiscard]] std::optional<std::string> find_account(const std::string& database,
                                                           const std::string& key) const;
 
+    /// Returns the time within which a statement on `database` must be answered; nothing without a route.
+    [[nodiscard]] std::optional<milliseconds> statement_timeout(const std::string& database) const;
+
     /// Checks a statement that was received on `database` from a caller with `key`, in a session of
     /// `account`. Called where the statement arrives, for each one.
     [[nodiscard]] statement_permit check_statement(const std::string& database, const std::string& key,
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -377,6 +377,12 @@
     return found == m_configuration.m_account_keys.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<milliseconds> gateway::statement_timeout(const std::string& database) const {
+    const auto route = m_configuration.m_routes.find(database);
+    return route == m_configuration.m_routes.end() ? std::nullopt
+                                                   : std::optional(route->second.m_class.m_deadline);
+}
+
 statement_permit gateway::check_statement(const std::string& database, const std::string& key,
                                           const std::string& account) {
     const auto found = find_account(database, key);
