--- a/test/gateway/session_endings.cpp
+++ b/test/gateway/session_endings.cpp
@@ -347,6 +347,14 @@
     BOOST_TEST(site.m_caller.is_closed());
 }
 
+BOOST_AUTO_TEST_CASE(a_session_that_another_instance_has_no_room_for_is_served_here) {
+    forwarding_instance site([](forwarding_instance&, tcp_stream& stream) {
+        stream.write("ERROR TOOMANY too many callers\r\n");
+        stream.close_after_flush();
+    });
+    BOOST_TEST(site.m_caller.received() == "READY I -\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(a_statement_sent_ahead_is_served_when_no_instance_accepts_its_session) {
     test::event_loop loop;
     test::gateway_fleet fleet(12, 1, test::test_address(20));
