--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -11,9 +11,12 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace {
 
@@ -398,6 +401,352 @@
     std::vector<std::shared_ptr<review_caller>> m_callers;
 };
 
+/// Callers prepare statements whose texts differ and run each once. The platform kills a process that
+/// exceeds its memory.
+class many_shapes_case : public review_case {
+public:
+    static constexpr int gateways = 3;
+
+    using review_case::review_case;
+
+private:
+    /// Machines with such callers, and callers on each. The other machine has none.
+    static constexpr int loaded = 2;
+    static constexpr int callers_each = 2;
+    /// Less than half of the longest message (1 MiB).
+    static constexpr std::size_t shape_bytes = 400000;
+    static constexpr int memory_mb = 260;
+    static constexpr milliseconds watch_interval{100};
+    static constexpr milliseconds longest{95000};
+    static constexpr int ends_of_a_fault = 3;
+
+    void begin() override {
+        for (int number = 0; number < gateways; ++number) {
+            fleet().start_gateway(number);
+        }
+        when_ready(gateways, [this] {
+            for (int number = 0; number < loaded; ++number) {
+                for (int caller = 0; caller < callers_each; ++caller) {
+                    start_caller(number, caller);
+                }
+            }
+            m_end_at = fleet().elapsed() + longest;
+            watch();
+        });
+    }
+
+    void start_caller(int gateway, int caller) {
+        const std::string name = "caller-" + std::to_string(gateway) + "-" + std::to_string(caller);
+        const auto number = std::make_shared<int>(0);
+        m_callers.push_back(std::make_shared<review_caller>(
+            loop(),
+            review::caller_options{.m_name = name,
+                                   .m_address = fleet().caller_address(gateway),
+                                   .m_database = strong_database,
+                                   .m_pause = milliseconds{1}},
+            review_caller::outputs{
+                .m_next =
+                    [this, name, number](const std::string& id) {
+                        const bool prepares = ++*number % 2 == 1;
+                        const int shape = has_trouble() ? *number / 2 : 0;
+                        fleet().record("sent " + id +
+                                       (prepares ? " PREPARE s READ, " + std::to_string(shape_bytes) +
+                                                       " bytes, shape " + std::to_string(shape)
+                                                 : " EXECUTE s w"));
+                        return prepares ? "PREPARE s READ " + shape_text(name, shape) : "EXECUTE s w";
+                    },
+                .m_on_answer =
+                    [this, number](const std::string& id, const caller_answer& reply) {
+                        m_answered += reply.succeeded() ? 1 : 0;
+                        // A session that has ended has forgotten the name.
+                        *number = reply.succeeded() ? *number : 0;
+                        fleet().record(
+                            "answered " + id +
+                            (reply.succeeded() ? " COMPLETE " + reply.m_proof : " ERROR " + reply.m_error));
+                    },
+                .m_on_lost =
+                    [this, number](const std::string& id) {
+                        *number = 0;
+                        ++m_unanswered;
+                        fleet().record("unanswered " + id);
+                    }}));
+        m_callers.back()->start();
+    }
+
+    static std::string shape_text(const std::string& caller, int shape) {
+        std::string text = caller + "-" + std::to_string(shape) + "-";
+        text.resize(shape_bytes, 'x');
+        return text;
+    }
+
+    /// Does what the platform does: kills a process that exceeds the memory of its machine.
+    void watch() {
+        int ended_often = 0;
+        for (int number = 0; number < gateways; ++number) {
+            const int used = fleet().memory_mb(number);
+            m_most[number] = std::max(m_most[number], used);
+            if (used > memory_mb) {
+                fleet().record("platform: " + std::to_string(used) + " MB in use, " +
+                               std::to_string(memory_mb) + " are allowed");
+                ++m_ends[number];
+                [[maybe_unused]] const bool sent = fleet().signal_gateway(number, SIGKILL);
+            }
+            ended_often += m_ends[number] >= ends_of_a_fault ? 1 : 0;
+        }
+        if (ended_often < loaded && fleet().elapsed() < m_end_at) {
+            loop().after(watch_interval, [this] { watch(); });
+            return;
+        }
+        for (const auto& each : m_callers) {
+            each->stop();
+        }
+        for (int number = 0; number < gateways; ++number) {
+            fleet().record("gateway " + std::to_string(number) + ": at most " +
+                           std::to_string(m_most[number]) + " MB, ended " + std::to_string(m_ends[number]) +
+                           " times");
+        }
+        fleet().record(std::to_string(m_answered) + " statements were answered with success, " +
+                       std::to_string(m_unanswered) + " got no answer");
+        if (ended_often >= loaded) {
+            report("Fault: the processes of " + std::to_string(ended_often) + " machines of " +
+                   std::to_string(gateways) + " exceeded their memory three times");
+        }
+        finish(m_answered > 0);
+    }
+
+    milliseconds m_end_at{0};
+    std::map<int, int> m_most;
+    std::map<int, int> m_ends;
+    int m_answered{0};
+    int m_unanswered{0};
+    std::vector<std::shared_ptr<review_caller>> m_callers;
+};
+
+/// A caller sends many statements that set session values, without waiting for the answers.
+class many_values_case : public review_case {
+public:
+    static constexpr int gateways = 3;
+
+    using review_case::review_case;
+
+private:
+    static constexpr int values = 40000;
+    static constexpr milliseconds question_interval{1000};
+    static constexpr milliseconds flood_after{3000};
+    static constexpr milliseconds end_time{60000};
+    /// The lease of an instance: whatever stands still for so long has lost it.
+    static constexpr milliseconds longest_standstill{10000};
+
+    void begin() override {
+        for (int number = 0; number < gateways; ++number) {
+            fleet().start_gateway(number);
+        }
+        when_ready(gateways, [this] {
+            start_reader();
+            ask();
+            loop().after(flood_after, [this] { flood(); });
+            loop().after(end_time, [this] { end(); });
+        });
+    }
+
+    /// The platform's question, one at a time.
+    void ask() {
+        m_asked_at = fleet().elapsed();
+        fleet().count_ready(1, [this](int ready) {
+            const milliseconds waited = fleet().elapsed() - m_asked_at;
+            note("readiness", waited);
+            fleet().record("readiness of gateway 0: " + std::string(ready == 1 ? "200" : "no 200") +
+                           " after " + std::to_string(waited.count()) + " ms");
+            loop().after(question_interval, [this] { ask(); });
+        });
+    }
+
+    void start_reader() {
+        m_reader = std::make_shared<review_caller>(
+            loop(),
+            review::caller_options{.m_name = "reader",
+                                   .m_address = fleet().caller_address(0),
+                                   .m_database = strong_database,
+                                   .m_pause = milliseconds{200}},
+            review_caller::outputs{
+                .m_next =
+                    [this](const std::string& id) {
+                        m_sent_at = fleet().elapsed();
+                        fleet().record("sent " + id + " READ w");
+                        return std::string("READ w");
+                    },
+                .m_on_answer =
+                    [this](const std::string& id, const caller_answer& reply) {
+                        const milliseconds waited = fleet().elapsed() - m_sent_at;
+                        note("read", waited);
+                        m_reads += reply.succeeded() ? 1 : 0;
+                        fleet().record("answered " + id + (reply.succeeded() ? " COMPLETE " : " ERROR ") +
+                                       reply.m_proof + reply.m_error + " after " +
+                                       std::to_string(waited.count()) + " ms");
+                    },
+                .m_on_lost = [this](const std::string& id) { fleet().record("unanswered " + id); }});
+        m_reader->start();
+    }
+
+    void flood() {
+        fleet().record("flood: a caller sends " + std::to_string(values) + " statements that set " +
+                       (has_trouble() ? "as many values" : "one value"));
+        std::string text = std::string("START ") + strong_database + " flood\r\n";
+        for (int number = 0; number < values; ++number) {
+            text += "QUERY f" + std::to_string(number) + " SET v" +
+                    std::to_string(has_trouble() ? number : 0) + " 1\r\n";
+        }
+        fleet().record(std::to_string(text.size()) + " bytes");
+        m_flood = tcp_stream::connect(
+            loop(), fleet().caller_address(0),
+            {.m_on_connected = [this, text] { m_flood->write(text); },
+             .m_on_bytes =
+                 [this](std::string_view bytes) {
+                     m_flood_answers += std::count(bytes.begin(), bytes.end(), '\n');
+                 },
+             .m_on_closed = [this](close_reason) { fleet().record("flood: the connection was closed"); }});
+    }
+
+    void note(const std::string& what, milliseconds waited) {
+        if (waited >= longest_standstill) {
+            report("Fault: gateway 0 left a " + what + " without an answer for " +
+                   std::to_string(waited.count()) + " ms");
+        }
+        m_longest = std::max(m_longest, waited);
+    }
+
+    void end() {
+        note("readiness question", fleet().elapsed() - m_asked_at);
+        fleet().record("flood: " + std::to_string(m_flood_answers) + " lines came back; longest wait " +
+                       std::to_string(m_longest.count()) + " ms, " + std::to_string(m_reads) +
+                       " reads served");
+        m_reader->stop();
+        m_flood->close();
+        finish(m_reads > 0);
+    }
+
+    std::shared_ptr<review_caller> m_reader;
+    std::shared_ptr<tcp_stream> m_flood;
+    std::int64_t m_flood_answers{0};
+    milliseconds m_asked_at{0};
+    milliseconds m_sent_at{0};
+    milliseconds m_longest{0};
+    int m_reads{0};
+};
+
+/// Callers of different tenants, each with a session value of its own, share the connections to a primary
+/// that fails a part of its requests.
+class failed_values_case : public review_case {
+public:
+    static constexpr int gateways = 3;
+
+    using review_case::review_case;
+
+private:
+    static constexpr int callers = 6;
+    /// With the three that there are from the start: one of seven is a share of 0.14.
+    static constexpr int more_upstreams = 4;
+    static constexpr double grey_share = 0.4;
+    static constexpr milliseconds grey_after{3000};
+    static constexpr milliseconds grey_time{6000};
+    static constexpr milliseconds end_time{12000};
+
+    void begin() override {
+        for (int number = 0; number < gateways; ++number) {
+            fleet().start_gateway(number);
+        }
+        for (int count = 0; count < more_upstreams; ++count) {
+            fleet().add_upstream();
+        }
+        when_ready(gateways, [this] {
+            for (int number = 0; number < callers; ++number) {
+                start_caller(number);
+            }
+            if (has_trouble()) {
+                loop().after(grey_after, [this] { fleet().set_grey(fleet().primary(), grey_share); });
+                loop().after(grey_after + grey_time, [this] { fleet().set_grey(fleet().primary(), 0); });
+            }
+            loop().after(end_time, [this] { end(); });
+        });
+    }
+
+    /// Sets its value once in a session, then reads and writes.
+    void start_caller(int number) {
+        const std::string name = "tenant" + std::to_string(number);
+        // What the caller has sent in this session, and whether its value is acknowledged.
+        struct progress {
+            int m_sent{0};
+            bool m_is_set{false};
+        };
+        const auto session = std::make_shared<progress>();
+        m_callers.push_back(std::make_shared<review_caller>(
+            loop(),
+            review::caller_options{.m_name = name,
+                                   .m_address = fleet().caller_address(0),
+                                   .m_database = strong_database,
+                                   .m_pause = milliseconds{5}},
+            review_caller::outputs{
+                .m_next =
+                    [this, name, session](const std::string& id) {
+                        const std::string text = !session->m_is_set           ? "SET tenant " + name
+                                                 : ++session->m_sent % 4 == 0 ? "WRITE " + name + " " + id
+                                                                              : "READ " + name;
+                        if (session->m_is_set) {
+                            m_expected[id] = name;
+                        }
+                        fleet().record("sent " + id + " " + text);
+                        return text;
+                    },
+                .m_on_answer =
+                    [this, session](const std::string& id, const caller_answer& reply) {
+                        fleet().record(
+                            "answered " + id +
+                            (reply.succeeded() ? " COMPLETE " + reply.m_proof : " ERROR " + reply.m_error));
+                        session->m_is_set = session->m_is_set || reply.succeeded();
+                        const auto wrong = m_wrong_runs.find(id);
+                        if (reply.succeeded() && wrong != m_wrong_runs.end()) {
+                            report("PINNED: " + id + " was answered with success; it ran with " +
+                                   wrong->second + " where its session has tenant=" + m_expected.at(id));
+                        }
+                        m_served += reply.succeeded() ? 1 : 0;
+                    },
+                .m_on_lost =
+                    [this, session](const std::string& id) {
+                        *session = {};
+                        fleet().record("unanswered " + id);
+                    },
+                .m_on_connected = [session] { *session = {}; }}));
+        m_callers.back()->start();
+    }
+
+    void on_execution(const standin::line_execution& what) override {
+        std::string values;
+        for (const auto& [name, value] : what.m_variables) {
+            values.append(values.empty() ? "" : " ").append(name).append("=").append(value);
+        }
+        fleet().record("run " + what.m_id + " at " + what.m_upstream + " with " +
+                       (values.empty() ? "no values" : values) + ": " + what.m_text);
+        const auto expected = m_expected.find(what.m_id);
+        if (expected != m_expected.end() && values != "tenant=" + expected->second) {
+            m_wrong_runs[what.m_id] = values.empty() ? "no values" : values;
+        }
+    }
+
+    void end() {
+        for (const auto& each : m_callers) {
+            each->stop();
+        }
+        fleet().record(std::to_string(m_served) + " statements were served, " +
+                       std::to_string(m_wrong_runs.size()) + " ran with other values");
+        finish(m_served > 0);
+    }
+
+    std::map<std::string, std::string> m_expected;   ///< Tenant by statement id.
+    std::map<std::string, std::string> m_wrong_runs; ///< Values by statement id.
+    int m_served{0};
+    std::vector<std::shared_ptr<review_caller>> m_callers;
+};
+
 template <class Case>
 int play(reactor& loop, const std::string& directory, int first_port, bool has_trouble) {
     Case played(loop, {.m_directory = directory, .m_first_port = first_port, .m_gateways = Case::gateways},
@@ -425,5 +774,14 @@
     if (arguments[0] == "forgotten-member") {
         return play<forgotten_member_case>(loop, arguments[1], first_port, has_trouble);
     }
+    if (arguments[0] == "failed-values") {
+        return play<failed_values_case>(loop, arguments[1], first_port, has_trouble);
+    }
+    if (arguments[0] == "many-shapes") {
+        return play<many_shapes_case>(loop, arguments[1], first_port, has_trouble);
+    }
+    if (arguments[0] == "many-values") {
+        return play<many_values_case>(loop, arguments[1], first_port, has_trouble);
+    }
     return exit_not_run;
 }
--- a/review/standin/review_caller.hpp
+++ b/review/standin/review_caller.hpp
@@ -39,6 +39,8 @@
         std::function<void(const std::string& id, const caller_answer&)> m_on_answer{};
         /// The session ended with this statement unanswered.
         std::function<void(const std::string& id)> m_on_lost{};
+        /// A session begins; optional.
+        std::function<void()> m_on_connected{};
     };
 
     review_caller(anvilmount::reactor& loop, caller_options options, outputs callbacks)
--- a/review/standin/review_fleet.cpp
+++ b/review/standin/review_fleet.cpp
@@ -25,6 +25,7 @@
 
 /// Port offsets from fleet_options::m_first_port.
 constexpr int upstream_ports = 10;
+constexpr int upstream_path_ports = 25;
 constexpr int store_path_ports = 40;
 constexpr int promotion_path_ports = 50;
 constexpr int gateway_ports = 60;
@@ -103,6 +104,24 @@
     return local(upstream_ports + number);
 }
 
+endpoint review_fleet::advertised_upstream_address(int number) const {
+    return local(upstream_path_ports + number);
+}
+
+result<void> review_fleet::add_grey_path(int number) {
+    m_grey_paths.push_back(
+        std::make_unique<grey_path>(m_loop, advertised_upstream_address(number), upstream_address(number),
+                                    [this, number](const std::string& line) {
+                                        record("upstream " + upstream_id(number) + " fails: " + line);
+                                    }));
+    return m_grey_paths.back()->start();
+}
+
+void review_fleet::set_grey(const std::string& upstream, double share) {
+    record("upstream " + upstream + " fails " + std::to_string(share) + " of its requests");
+    m_grey_paths.at(std::stoul(upstream.substr(upstream.find('-') + 1)))->set_share(share);
+}
+
 endpoint review_fleet::caller_address(int number) const {
     return local(gateway_ports + number * ports_per_gateway + callers);
 }
@@ -115,6 +134,7 @@
                                           .m_slots = slots,
                                           .m_max_connections = max_connections,
                                           .m_is_primary = number == 0}));
+        BOOST_LEAF_CHECK(add_grey_path(number));
         ++m_upstream_count;
     }
     BOOST_LEAF_CHECK(m_store.listen(local(0)));
@@ -205,7 +225,7 @@
     const int number = std::stoi(upstream.substr(upstream.find('-') + 1));
     m_store.put("servers", upstream,
                 json{{"service", service},
-                     {"address", to_string(upstream_address(number))},
+                     {"address", to_string(advertised_upstream_address(number))},
                      {"zone", number % 2 == 0 ? "gt-a" : "gt-b"},
                      {"version", "1"},
                      {"capacity", slots},
@@ -219,12 +239,13 @@
 
 void review_fleet::add_upstream() {
     const int number = m_upstream_count++;
-    const auto failed = failure_of([&] {
-        return m_upstreams.add({.m_id = upstream_id(number),
-                                .m_group = service,
-                                .m_listen = upstream_address(number),
-                                .m_slots = slots,
-                                .m_max_connections = max_connections});
+    const auto failed = failure_of([&]() -> result<void> {
+        BOOST_LEAF_CHECK(m_upstreams.add({.m_id = upstream_id(number),
+                                          .m_group = service,
+                                          .m_listen = upstream_address(number),
+                                          .m_slots = slots,
+                                          .m_max_connections = max_connections}));
+        return add_grey_path(number);
     });
     if (failed) {
         record("error: " + failed->m_message);
@@ -260,6 +281,19 @@
     return sent;
 }
 
+int review_fleet::memory_mb(int number) const {
+    std::ifstream file(m_options.m_directory + "/gateway-" + std::to_string(number) + ".pid");
+    std::string process;
+    file >> process;
+    std::ifstream status("/proc/" + process + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoi(line.substr(line.find_first_of("0123456789"))) / 1024;
+        }
+    }
+    return 0;
+}
+
 int review_fleet::gateway_number(const std::string& name) const {
     for (int number = 0; number < m_options.m_gateways; ++number) {
         if (gateway_name(number) == name) {
--- a/review/standin/review_fleet.hpp
+++ b/review/standin/review_fleet.hpp
@@ -4,6 +4,8 @@
 /// are started by run.sh, one process each, when this program asks for them.
 #pragma once
 
+#include "grey_path.hpp"
+
 #include "../../standins/line_platform/line_upstreams.hpp"
 #include "../../standins/line_platform/row_store.hpp"
 #include "../../standins/relay/fault_relay.hpp"
@@ -45,6 +47,8 @@
     void start_gateway(int number) const;
     /// Sends a signal to the process of a gateway; false if it has none.
     [[nodiscard]] bool signal_gateway(int number, int signal) const;
+    /// Resident memory of a gateway's process in MB; 0 without a process.
+    [[nodiscard]] int memory_mb(int number) const;
     /// Number of the gateway of this name; -1: none.
     [[nodiscard]] int gateway_number(const std::string& name) const;
     [[nodiscard]] anvilmount::endpoint caller_address(int number) const;
@@ -64,6 +68,8 @@
     /// Holds up, or not any more, everything that the gateways send each other.
     void cut_gateways_from_each_other(bool cut);
 
+    /// From now on, one upstream fails this share of its requests; its status check is good.
+    void set_grey(const std::string& upstream, double share);
     /// Adds a replica and registers it; its log is the primary's after a moment.
     void add_upstream();
     /// The primary reports that it is draining.
@@ -81,6 +87,8 @@
 private:
     [[nodiscard]] anvilmount::endpoint local(int offset) const;
     [[nodiscard]] anvilmount::endpoint upstream_address(int number) const;
+    [[nodiscard]] anvilmount::endpoint advertised_upstream_address(int number) const;
+    [[nodiscard]] anvilmount::result<void> add_grey_path(int number);
     void write_settings(int number) const;
     void write_configuration();
     void publish(const std::string& upstream);
@@ -94,6 +102,7 @@
     std::vector<std::unique_ptr<standin::fault_relay>> m_store_paths;
     std::vector<std::unique_ptr<standin::fault_relay>> m_promotion_paths;
     std::vector<std::unique_ptr<standin::fault_relay>> m_peer_paths;
+    std::vector<std::unique_ptr<grey_path>> m_grey_paths; ///< By number of the upstream.
     int m_upstream_count{0};
     std::set<std::string> m_draining;
     std::set<std::string> m_removed;
