--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -634,7 +634,7 @@
     int m_reads{0};
 };
 
-/// Callers of different tenants, each with a session value of its own, share the connections to a primary
+/// Callers, each with a session value of its own, share the connections to a primary
 /// that fails a part of its requests.
 class failed_values_case : public review_case {
 public:
@@ -672,7 +672,7 @@
 
     /// Sets its value once in a session, then reads and writes.
     void start_caller(int number) {
-        const std::string name = "tenant" + std::to_string(number);
+        const std::string name = "caller" + std::to_string(number);
         // What the caller has sent in this session, and whether its value is acknowledged.
         struct progress {
             int m_sent{0};
@@ -688,7 +688,7 @@
             review_caller::outputs{
                 .m_next =
                     [this, name, session](const std::string& id) {
-                        const std::string text = !session->m_is_set           ? "SET tenant " + name
+                        const std::string text = !session->m_is_set           ? "SET owner " + name
                                                  : ++session->m_sent % 4 == 0 ? "WRITE " + name + " " + id
                                                                               : "READ " + name;
                         if (session->m_is_set) {
@@ -706,7 +706,7 @@
                         const auto wrong = m_wrong_runs.find(id);
                         if (reply.succeeded() && wrong != m_wrong_runs.end()) {
                             report("PINNED: " + id + " was answered with success; it ran with " +
-                                   wrong->second + " where its session has tenant=" + m_expected.at(id));
+                                   wrong->second + " where its session has owner=" + m_expected.at(id));
                         }
                         m_served += reply.succeeded() ? 1 : 0;
                     },
@@ -727,7 +727,7 @@
         fleet().record("run " + what.m_id + " at " + what.m_upstream + " with " +
                        (values.empty() ? "no values" : values) + ": " + what.m_text);
         const auto expected = m_expected.find(what.m_id);
-        if (expected != m_expected.end() && values != "tenant=" + expected->second) {
+        if (expected != m_expected.end() && values != "owner=" + expected->second) {
             m_wrong_runs[what.m_id] = values.empty() ? "no values" : values;
         }
     }
@@ -741,7 +741,7 @@
         finish(m_served > 0);
     }
 
-    std::map<std::string, std::string> m_expected;   ///< Tenant by statement id.
+    std::map<std::string, std::string> m_expected;   ///< Caller by statement id.
     std::map<std::string, std::string> m_wrong_runs; ///< Values by statement id.
     int m_served{0};
     std::vector<std::shared_ptr<review_caller>> m_callers;
