Send a statement only after its connection's setup was acknowledged

Cause: upstream_pool wrote RESET, SET, PREPARE and the caller's statement in one go. An upstream runs what follows a statement that failed, so the statement ran whatever became of its setup. The pool then only refused to use the connection again, and passed the answer on.

Change: what an upstream has acknowledged of a connection's session is kept in connection_session, free of I/O. A step that was sent, or that failed, leaves what it changes unknown until a later step is acknowledged. The statement follows the acknowledged setup in a second write. If the setup fails, the connection breaks or the time to send is over, the statement was never sent: it is reported as not run, so that the group tries again, also with writes and BEGIN. The connection stays in use, since what is unknown is known to be.

Where values agree nothing is sent more or later. Among idle connections the one that needs the least setup is now preferred; the choice did not look at prepared statements before.

--- a/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
+++ b/libs/gateway/include/anvilmount/gateway/upstream_pool.hpp
@@ -2,13 +2,17 @@
 /// The connection pool of this instance for one upstream, with an admission queue.
 /// Work waits in order of rank until a slot and a connection are free. A transaction
 /// holds its connection from its first statement to its end. A connection whose
-/// state is uncertain is closed, never reused. A connection serves the statements of
-/// one client account; work whose account has no idle connection keeps its slot while
+/// state is uncertain is closed, never reused. A connection that does not have the
+/// session values and prepared statements that a statement needs is set up first, and
+/// the statement follows once the upstream has acknowledged all of it: behind a setup
+/// that fails it would run with the values of another caller. A connection serves the
+/// statements of one client account; work whose account has no idle connection keeps its slot while
 /// one is opened for it, if need be in the place of the connection idle for longest.
 #pragma once
 
 #include "anvilmount/decisions/admission.hpp"
 #include "anvilmount/decisions/answer_time.hpp"
+#include "anvilmount/decisions/connection_session.hpp"
 #include "anvilmount/decisions/pool_accounting.hpp"
 #include "anvilmount/decisions/upstream_outcomes.hpp"
 #include "anvilmount/gateway/fleet.hpp"
@@ -40,13 +44,14 @@
     std::string m_account{}; ///< The only client account whose statements it serves; empty: none.
     state m_state{state::connecting};
     upstream_channel m_channel{};
-    session_values m_session_values{};  ///< Values set on the connection.
-    std::set<std::string> m_prepared{}; ///< Names of statements prepared on the connection.
-    int m_pending_answers{0};           ///< Statements sent and not yet answered.
-    bool m_close_after_use{false};      ///< Setting a value or preparing failed: not to be reused.
+    connection_session m_session{};
+    int m_pending_answers{0};         ///< Statements sent and not yet answered.
+    std::deque<setup_step> m_setup{}; ///< Steps among them; all precede the other statements.
+    bool m_setup_failed{false};       ///< One of the steps sent last failed.
     /// When the connection began to connect, became idle, or sent an internal statement.
     steady_time m_since{};
-    /// The work whose answer is expected as the last of the pending answers; 0 if none.
+    /// The work that the connection is set up for, or whose answer is expected as the last of the pending
+    /// answers; 0 if none.
     std::uint64_t m_work_id{0};
     /// Called when the connection is lost between two statements of the transaction that holds it.
     std::function<void()> m_on_lost{};
@@ -235,15 +240,27 @@
     void dispatch();
     /// Takes an idle connection of the work's account that has not ended; null if there is none.
     connection_handle acquire_idle(const pool_work& work);
-    /// Returns an idle connection of the work's account, preferably one with its session values.
+    /// Returns the idle connection of the work's account that needs the least setup for it.
     [[nodiscard]] connection_handle choose_idle(const pool_work& work) const;
     void take_idle(const connection_handle& connection);
     /// Removes a connection without open statements if its end or an unexpected message has arrived, and
     /// returns whether it did. Asked before each use, reads and internal statements included: a system call
     /// costs little beside the send, and a stray message would be taken for the answer.
     bool drop_if_ended(const connection_handle& connection);
-    /// Sends the work, preceded by the statements that set its session values and prepare it.
+    /// Sends the work, or first the setup that the connection needs for it.
     void send(const connection_handle& connection, std::uint64_t work_id, pool_work& work);
+    void send_setup(const connection_handle& connection, const pool_work& work,
+                    const std::vector<setup_step>& steps);
+    void send_statement(const connection_handle& connection, std::uint64_t work_id, const pool_work& work);
+    void on_setup_answer(const connection_handle& connection, const answer& reply);
+    /// Sends the statement that the connection was set up for, or reports it as not run.
+    void finish_setup(const connection_handle& connection, const answer& last_reply);
+    /// Passes an answer to the work or the handler that awaits it.
+    void deliver_answer(const connection_handle& connection, answer reply);
+    /// Whether the work that holds the connection has not been sent yet.
+    [[nodiscard]] bool is_setting_up(const connection_handle& connection) const {
+        return connection->m_work_id != 0 && !connection->m_setup.empty();
+    }
     void finish(std::uint64_t work_id, work_result result);
     /// Removes a closed or lost connection from the pool.
     void discard(const connection_handle& connection, bool was_idle);
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -50,6 +50,38 @@
         .m_orders = limits.m_rank_orders};
 }
 
+session_needs needs_of(const pool_work& work) {
+    return {.m_values = work.m_values.get(),
+            .m_prepared = work.m_prepare ? &work.m_prepare->m_name : nullptr};
+}
+
+/// Returns the statement of a setup step for `work`.
+outgoing_statement setup_statement(const setup_step& step, const pool_work& work) {
+    switch (step.m_kind) {
+    case setup_step::kind::reset:
+        return {.m_kind = outgoing_statement::kind::reset};
+    case setup_step::kind::set_value:
+        return {.m_kind = outgoing_statement::kind::set_value,
+                .m_name = step.m_name,
+                .m_argument = step.m_value};
+    case setup_step::kind::prepare:
+        break;
+    }
+    return *work.m_prepare;
+}
+
+std::string_view name_of(setup_step::kind kind) {
+    switch (kind) {
+    case setup_step::kind::reset:
+        return "reset";
+    case setup_step::kind::set_value:
+        return "set_value";
+    case setup_step::kind::prepare:
+        break;
+    }
+    return "prepare";
+}
+
 pool_options connection_options(int limit, int min_idle) {
     return {.m_limit = limit,
             .m_min_idle = min_idle,
@@ -236,18 +268,23 @@
 }
 
 connection_handle upstream_pool::choose_idle(const pool_work& work) const {
-    auto chosen = m_idle.rend();
+    const session_needs needs = needs_of(work);
+    connection_handle chosen;
+    setup_distance least = setup_distance::reset;
     for (auto each = m_idle.rbegin(); each != m_idle.rend(); ++each) {
         if ((*each)->m_account != work.m_account) {
             continue;
         }
-        if ((*each)->m_session_values == *work.m_values) {
-            chosen = each;
+        const setup_distance distance = (*each)->m_session.distance_to(needs);
+        if (!chosen || distance < least) {
+            chosen = *each;
+            least = distance;
+        }
+        if (least == setup_distance::none) {
             break;
         }
-        chosen = chosen == m_idle.rend() ? each : chosen;
     }
-    return chosen == m_idle.rend() ? nullptr : *chosen;
+    return chosen;
 }
 
 void upstream_pool::take_idle(const connection_handle& connection) {
@@ -268,37 +305,86 @@
 }
 
 void upstream_pool::send(const connection_handle& connection, std::uint64_t work_id, pool_work& work) {
-    std::vector<outgoing_statement> batch;
-    if (work.m_values && connection->m_session_values != *work.m_values) {
-        const bool only_additions =
-            std::all_of(connection->m_session_values.begin(), connection->m_session_values.end(),
-                        [&](const auto& each) { return work.m_values->contains(each.first); });
-        if (!only_additions) {
-            batch.push_back({.m_kind = outgoing_statement::kind::reset});
-            connection->m_session_values.clear();
-            connection->m_prepared.clear();
-        }
-        for (const auto& [name, value] : *work.m_values) {
-            const auto current = connection->m_session_values.find(name);
-            if (current == connection->m_session_values.end() || current->second != value) {
-                batch.push_back(
-                    {.m_kind = outgoing_statement::kind::set_value, .m_name = name, .m_argument = value});
-            }
-        }
-        connection->m_session_values = *work.m_values;
-    }
-    if (work.m_prepare && !connection->m_prepared.contains(work.m_prepare->m_name)) {
-        batch.push_back(*work.m_prepare);
-        connection->m_prepared.insert(work.m_prepare->m_name);
-    }
-    batch.push_back(work.m_statement);
-    connection->m_pending_answers += static_cast<int>(batch.size());
     connection->m_work_id = work_id;
     m_running[work_id] = m_clock.m_now();
     work.m_connection = connection;
+    const std::vector<setup_step> steps = connection->m_session.steps_to(needs_of(work));
+    if (steps.empty()) {
+        send_statement(connection, work_id, work);
+    } else {
+        send_setup(connection, work, steps);
+    }
+}
+
+void upstream_pool::send_setup(const connection_handle& connection, const pool_work& work,
+                               const std::vector<setup_step>& steps) {
+    m_metrics.count("connection_setups");
+    std::vector<outgoing_statement> batch;
+    for (const setup_step& each : steps) {
+        connection->m_session.record_sent(each);
+        batch.push_back(setup_statement(each, work));
+    }
+    connection->m_setup.assign(steps.begin(), steps.end());
+    connection->m_setup_failed = false;
+    connection->m_pending_answers += static_cast<int>(batch.size());
     connection->m_channel.m_send(batch);
 }
 
+void upstream_pool::send_statement(const connection_handle& connection, std::uint64_t work_id,
+                                   const pool_work& work) {
+    m_running[work_id] = m_clock.m_now();
+    ++connection->m_pending_answers;
+    connection->m_channel.m_send({work.m_statement});
+}
+
+void upstream_pool::on_setup_answer(const connection_handle& connection, const answer& reply) {
+    const setup_step step = std::move(connection->m_setup.front());
+    connection->m_setup.pop_front();
+    connection->m_session.record_answered(step, reply.succeeded());
+    if (!reply.succeeded()) {
+        connection->m_setup_failed = true;
+        m_metrics.count("connection_setup_failures");
+        log_event(log_level::warning, "upstream.setup_failed",
+                  {{"upstream", m_entry.m_id.m_text},
+                   {"step", std::string(name_of(step.m_kind))},
+                   {"code", std::to_string(number_of(reply.m_code))},
+                   {"reason", reply.m_reason}});
+    }
+    if (!connection->m_setup.empty() || connection->m_pending_answers > 0) {
+        return;
+    }
+    if (connection->m_work_id == 0) {
+        deliver_answer(connection, reply);
+    } else {
+        finish_setup(connection, reply);
+    }
+}
+
+void upstream_pool::finish_setup(const connection_handle& connection, const answer& last_reply) {
+    const std::uint64_t work_id = connection->m_work_id;
+    const pool_work& work = m_work.at(work_id);
+    const session_state needed =
+        work.m_had_connection ? session_state::in_transaction : session_state::idle;
+    const bool has_state = last_reply.m_state == needed;
+    if (!connection->m_setup_failed && has_state && m_clock.m_now() < work.m_send_deadline) {
+        send_statement(connection, work_id, work);
+        return;
+    }
+    if (connection->m_setup_failed) {
+        record_outcome(work_id, work_sign::failed);
+    }
+    connection->m_work_id = 0;
+    const bool had_connection = work.m_had_connection;
+    finish(work_id,
+           {.m_outcome = work_outcome::not_run,
+            .m_code = had_connection ? result_code::transaction_lost : result_code::upstream_unavailable});
+    // A transaction that holds the connection ends it.
+    if (!had_connection) {
+        release_or_close(connection, last_reply.m_state);
+    }
+    dispatch();
+}
+
 void upstream_pool::finish(std::uint64_t work_id, work_result result) {
     const auto found = m_work.find(work_id);
     if (found == m_work.end()) {
@@ -326,10 +412,6 @@
         return;
     }
     connection->m_on_lost = nullptr;
-    if (connection->m_close_after_use) {
-        close(connection);
-        return;
-    }
     connection->m_state = pooled_connection::state::idle;
     connection->m_since = m_clock.m_now();
     m_accounting.record_released();
@@ -430,7 +512,13 @@
         m_reply_handlers.erase(handler);
         done(std::nullopt);
     }
-    if (connection->m_work_id != 0) {
+    if (is_setting_up(connection)) {
+        const std::uint64_t work_id = std::exchange(connection->m_work_id, 0);
+        const bool had_connection = m_work.at(work_id).m_had_connection;
+        finish(work_id, {.m_outcome = work_outcome::not_run,
+                         .m_code = had_connection ? result_code::transaction_lost
+                                                  : result_code::upstream_unavailable});
+    } else if (connection->m_work_id != 0) {
         const std::uint64_t work_id = std::exchange(connection->m_work_id, 0);
         finish(
             work_id,
@@ -603,15 +691,16 @@
         close(connection);
         return;
     }
-    if (--connection->m_pending_answers > 0) {
-        if (!reply.succeeded()) {
-            // The statement may run with other session values than intended; never reuse the connection.
-            log_event(log_level::warning, "upstream.preparation_failed",
-                      {{"upstream", m_entry.m_id.m_text}, {"reason", reply.m_reason}});
-            connection->m_close_after_use = true;
-        }
-        return;
+    --connection->m_pending_answers;
+    if (!connection->m_setup.empty()) {
+        on_setup_answer(connection, reply);
+    } else if (connection->m_pending_answers == 0) {
+        deliver_answer(connection, std::move(reply));
     }
+    // Other answers are to statements that were given up.
+}
+
+void upstream_pool::deliver_answer(const connection_handle& connection, answer reply) {
     if (reply.m_position) {
         m_position = reply.m_position;
     }
@@ -630,7 +719,7 @@
     }
     record_answer(work_id, reply);
     if (reply.m_code == result_code::unknown_prepared_statement) {
-        connection->m_prepared.clear();
+        connection->m_session.forget_prepared();
     }
     finish(work_id,
            {.m_outcome = work_outcome::answered, .m_answer = std::move(reply), .m_connection = connection});
@@ -736,6 +825,7 @@
     // connection would cost the upstream another slot.
     m_metrics.count("answers_given_up");
     record_outcome(connection->m_work_id, work_sign::unanswered);
+    const bool was_sent = !is_setting_up(connection);
     const std::uint64_t work_id = std::exchange(connection->m_work_id, 0);
     const bool had_connection = m_work.at(work_id).m_had_connection;
     if (!had_connection) {
@@ -744,9 +834,13 @@
         };
         connection->m_since = m_clock.m_now();
     }
-    finish(
-        work_id,
-        {.m_outcome = work_outcome::lost, .m_code = result_code::outcome_unknown, .m_lost_by = "deadline"});
+    if (was_sent) {
+        finish(work_id, {.m_outcome = work_outcome::lost,
+                         .m_code = result_code::outcome_unknown,
+                         .m_lost_by = "deadline"});
+    } else {
+        finish(work_id, {.m_outcome = work_outcome::not_run, .m_code = result_code::upstream_unavailable});
+    }
 }
 
 void upstream_pool::mark_unresponsive() {
@@ -777,10 +871,12 @@
         if (unresponsive) {
             mark_unresponsive();
         }
-        if (unresponsive && (work.m_retryable || now >= work.m_answer_deadline)) {
+        const bool is_unsent = is_setting_up(connection);
+        const bool is_overdue = now >= (is_unsent ? work.m_send_deadline : work.m_answer_deadline);
+        if (unresponsive && (work.m_retryable || is_unsent || is_overdue)) {
             record_outcome(connection->m_work_id, work_sign::unanswered);
             close(connection, connection_end::unresponsive);
-        } else if (now >= work.m_answer_deadline) {
+        } else if (is_overdue) {
             abandon_answer(connection);
         }
     }
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -168,7 +168,15 @@
     if (!conn->m_open || upstream.m_down) {
         return;
     }
-    answer reply = answer_to(conn, what);
+    if (what.m_kind != outgoing_statement::kind::status) {
+        ++m_received[what.m_kind];
+    }
+    if (upstream.m_breaks_at && upstream.m_breaks_at(what)) {
+        drop(conn);
+        return;
+    }
+    answer reply = upstream.m_fails && upstream.m_fails(what) ? refused(result_code::statement_failed)
+                                                              : answer_to(conn, what);
     const bool running = what.m_kind == outgoing_statement::kind::forwarded;
     if (upstream.m_loses_answers && running && reply.succeeded()) {
         drop(conn);
@@ -218,7 +226,7 @@
         if (!conn->m_read_only && !upstream.m_is_primary) {
             return refused(result_code::not_primary);
         }
-        conn->m_in_transaction = true;
+        conn->m_in_transaction = !upstream.m_ignores_begin;
         return done("-");
     case outgoing_statement::kind::status: {
         answer reply = done("-");
@@ -242,6 +250,7 @@
         what.m_name.empty() ? what.m_text : "EXECUTE " + what.m_name + " " + what.m_argument;
     const bool commits = text == "COMMIT";
     if (upstream.m_busy && !commits) {
+        conn->m_in_transaction = conn->m_in_transaction && !upstream.m_ends_refused;
         return refused(result_code::queue_full);
     }
     if (!what.m_name.empty() && !conn->m_prepared.contains(what.m_name)) {
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -36,12 +36,18 @@
     bool m_is_primary{false};
     std::uint64_t m_term{1};
     log_position m_position{.m_term = 1, .m_offset = 100};
-    bool m_down{false};                ///< Refuses connections and runs nothing.
-    bool m_silent{false};              ///< Accepts statements, but answers none.
-    bool m_loses_answers{false};       ///< Runs a statement, then breaks its connection.
-    bool m_replicates{true};           ///< As a replica: applies the commits of the primary.
-    bool m_busy{false};                ///< Refuses reads and writes without running them.
-    milliseconds m_work_time{10};      ///< Per forwarded statement.
+    bool m_down{false};           ///< Refuses connections and runs nothing.
+    bool m_silent{false};         ///< Accepts statements, but answers none.
+    bool m_loses_answers{false};  ///< Runs a statement, then breaks its connection.
+    bool m_replicates{true};      ///< As a replica: applies the commits of the primary.
+    bool m_busy{false};           ///< Refuses reads and writes without running them.
+    milliseconds m_work_time{10}; ///< Per forwarded statement.
+    /// Statements that are answered with an error; all others run.
+    std::function<bool(const gateway::outgoing_statement&)> m_fails{};
+    /// Statements at which the connection breaks without an answer; they are not run.
+    std::function<bool(const gateway::outgoing_statement&)> m_breaks_at{};
+    bool m_ignores_begin{false};       ///< Answers BEGIN with success and begins nothing.
+    bool m_ends_refused{false};        ///< A statement refused while busy ends its transaction.
     std::vector<std::string> m_rows{}; ///< Rows of the answer to each read.
     int m_open{0};
     int m_peak_open{0};
@@ -85,6 +91,8 @@
 
     milliseconds m_promotion_time{600}; ///< From an order to its effect.
     std::vector<run_statement> m_runs;
+    /// How many statements of each kind arrived, but for status requests.
+    std::map<gateway::outgoing_statement::kind, int> m_received;
     std::vector<std::string> m_violations; ///< Protocol errors of gateways; a test expects none.
     int m_promotions{0};
 
