Run statements of a transaction only inside it

A statement of a transaction ran by itself, outside its own transaction, in two cases:

- an upstream answers BEGIN with success while its session state is idle;
- a statement that the upstream refused as busy is repeated on the same connection after the upstream has ended the transaction.

Cause: only the state "failed" was taken for a connection without its transaction. Both places now require the state "in transaction". The transaction is aborted otherwise, and its caller is told that nothing is kept.

Tests in gateway/session_setup, both failing before.

--- a/libs/gateway/src/caller_session.cpp
+++ b/libs/gateway/src/caller_session.cpp
@@ -475,7 +475,8 @@
 
 void caller_session::on_begin_reply(const statement& current, const group_reply& reply) {
     return_quota(reply);
-    const bool has_begun = reply.m_outcome == work_outcome::answered && reply.m_answer.succeeded();
+    const bool has_begun = reply.m_outcome == work_outcome::answered && reply.m_answer.succeeded() &&
+                           reply.m_answer.m_state == session_state::in_transaction;
     if (m_disconnected) {
         m_transaction.reset();
         if (has_begun) {
--- a/libs/gateway/src/group_service.cpp
+++ b/libs/gateway/src/group_service.cpp
@@ -597,7 +597,10 @@
         const bool did_not_run =
             code == result_code::queue_full || code == result_code::no_fresh_upstream ||
             code == result_code::not_primary || code == result_code::unknown_prepared_statement;
-        const bool is_session_usable = result.m_answer.m_state != session_state::failed;
+        // Outside its transaction, a statement of one must not run.
+        const bool is_session_usable = in_transaction
+                                           ? result.m_answer.m_state == session_state::in_transaction
+                                           : result.m_answer.m_state != session_state::failed;
         const bool may_retry = did_not_run && is_session_usable &&
                                (!in_transaction || code == result_code::queue_full ||
                                 code == result_code::unknown_prepared_statement);
--- a/test/gateway/session_setup.cpp
+++ b/test/gateway/session_setup.cpp
@@ -181,6 +181,36 @@
     BOOST_TEST(writer.m_caller.m_answers.at(1).succeeded());
 }
 
+/// An upstream that answers BEGIN with success and begins nothing runs what follows by itself.
+BOOST_AUTO_TEST_CASE(no_statement_of_a_transaction_runs_where_none_was_begun) {
+    test::gateway_fleet fleet(1);
+    fleet.m_upstreams.at("orders-1").m_ignores_begin = true;
+    test::test_caller caller(fleet.instance(1), "pay");
+    caller.send(kind::begin, "BEGIN");
+    caller.send(kind::write, "WRITE 1 a");
+    fleet.run_for(1000ms);
+    BOOST_TEST((caller.m_answers.at(1).m_code == result_code::transaction_lost));
+    BOOST_TEST(fleet.m_upstreams.m_runs.empty());
+}
+
+/// A statement that is repeated after its upstream has ended the transaction runs by itself.
+BOOST_AUTO_TEST_CASE(no_statement_is_repeated_outside_its_transaction) {
+    test::gateway_fleet fleet(1);
+    test::test_caller caller(fleet.instance(1), "pay");
+    caller.send(kind::begin, "BEGIN");
+    caller.send(kind::write, "WRITE 1 a");
+    fleet.run_for(100ms);
+    fleet.m_upstreams.at("orders-1").m_busy = true;
+    fleet.m_upstreams.at("orders-1").m_ends_refused = true;
+    caller.send(kind::write, "WRITE 2 b");
+    fleet.run_for(20ms);
+    fleet.m_upstreams.at("orders-1").m_busy = false;
+    fleet.run_for(1000ms);
+    BOOST_REQUIRE(caller.m_answers.size() == 3U);
+    BOOST_TEST(!caller.m_answers[2].succeeded());
+    BOOST_TEST(fleet.m_upstreams.m_runs.size() == 1U);
+}
+
 /// The setup must cost nothing where it is not needed.
 BOOST_AUTO_TEST_CASE(nothing_precedes_a_statement_whose_connection_has_its_values) {
     test::gateway_fleet fleet(1);
