Make each lease known to witnesses before it is a whole one

Cause: after the store came back from an older copy, any instance that held a lease took the members that it knew for all that may hold one, and said so to the fleet. An instance that had obtained its lease after the last poll of every survivor is known to the store alone, which had forgotten it. The next primary was ordered without waiting for its lease.

Change: some instances are witnesses: the active coordinator and its first successors. Each has a row in a small table of its own, and may speak for the fleet after a restore once it has read the members table behind that row. Whoever obtains a lease, also after one that lapsed, reads that table and introduces itself to each witness in one message; both write before they read, so that the later of two always knows of the other. Until all have answered, have ended, or let their own lease lapse, the new lease is provisional: it lasts 1.5 s in place of 10 s and is renewed each 450 ms. After a restore a change of primary waits for every lease that a witness knows, and 1.7 s for provisional ones. It does not wait for a lease as long as a witness is alive.

Also: a member that was carried over into a new era is dropped by the age of the read and not by the time of its arrival, which is up to 2.5 s later when a relay answers.

--- a/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
+++ b/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
@@ -33,13 +33,14 @@
 
 class era_recovery {
 public:
-    /// `max_lease` is the time after which no lease of an earlier era is valid any more.
-    era_recovery(const recovery_ports& ports, milliseconds max_lease)
-        : m_ports(ports), m_max_lease(max_lease) {}
+    /// After `max_lease` no lease of an earlier era is valid any more, and after `max_provisional_lease`
+    /// none that the witnesses do not know of.
+    era_recovery(const recovery_ports& ports, milliseconds max_lease, milliseconds max_provisional_lease)
+        : m_ports(ports), m_max_lease(max_lease), m_max_provisional_lease(max_provisional_lease) {}
 
-    /// A later era was seen. `knew_members`: this instance was in touch with the store until it went
-    /// away, and so knows every instance that may hold a lease.
-    void begin(std::uint64_t era, bool knew_members);
+    /// A later era was seen. `was_witness`: this instance knows every instance that may hold a lease of
+    /// before, but for provisional ones; see introductions.hpp.
+    void begin(std::uint64_t era, bool was_witness);
 
     /// Era of the store; 0 while it has named none.
     [[nodiscard]] std::uint64_t era() const { return m_era; }
@@ -74,6 +75,7 @@
 
     recovery_ports m_ports;
     milliseconds m_max_lease;
+    milliseconds m_max_provisional_lease;
     std::uint64_t m_era{0};
     steady_time m_era_seen_at{};
     steady_time m_leases_known_at{}; ///< Until then, see knows_all_leases().
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -16,6 +16,7 @@
 #include "anvilmount/gateway/era_recovery.hpp"
 #include "anvilmount/gateway/fleet_membership.hpp"
 #include "anvilmount/gateway/group_service.hpp"
+#include "anvilmount/gateway/lease_witnesses.hpp"
 #include "anvilmount/gateway/member_directory.hpp"
 #include "anvilmount/gateway/ports.hpp"
 #include "anvilmount/gateway/table_follower.hpp"
@@ -71,6 +72,7 @@
     promotion_port m_promote{};
     status_reader m_read_status{};
     process_probe m_probe{};
+    peer_request m_send_peer_request{};
     /// The configuration's row: a heartbeat succeeds only if the version known here is the newest.
     followed_row m_configuration{};
     /// The stored set of account homes (nothing: there is none) and the era of the store that it is of.
@@ -100,6 +102,11 @@
     /// The store came back from an older copy: reads everything again and registers anew.
     void on_new_era(std::uint64_t era);
 
+    /// Answers another instance that has obtained a lease and introduces itself.
+    [[nodiscard]] store_answer on_introduction(const member_introduction& introduction) {
+        return m_witnesses.on_introduction(introduction);
+    }
+
     /// Gives up the active role and never takes it again.
     void resign();
 
@@ -177,8 +184,13 @@
     void adopt_group_record(const group_name& name, group_service& group);
     [[nodiscard]] fleet_intervals intervals() const;
     [[nodiscard]] bool is_alive(const known_member& peer) const;
+    /// Whether any lease that the instance may hold is over.
+    [[nodiscard]] bool is_lease_over(const known_member& peer) const;
     [[nodiscard]] bool has_older_version() const;
     [[nodiscard]] member_record own_record() const;
+    [[nodiscard]] witness_ports make_witness_ports();
+    /// Whether this instance should be one of the witnesses.
+    [[nodiscard]] bool should_be_witness() const;
     [[nodiscard]] std::set<group_name> unreachable_primaries() const;
     void heartbeat(milliseconds batch_delay);
     [[nodiscard]] bool has_urgent_report() const;
@@ -229,6 +241,8 @@
     member_directory m_directory;
     table_follower m_records;
     era_recovery m_recovery;
+    lease_witnesses m_witnesses;
+    bool m_is_witness{false}; ///< As decided at the last poll.
     std::optional<int> m_max_account_homes;
     std::optional<account_home_set> m_account_homes; ///< As stored.
     store_version m_account_homes_version;           ///< Of its row.
@@ -251,6 +265,7 @@
     store_version m_records_head;
     /// When the last successful heartbeat was sent.
     std::optional<steady_time> m_last_heartbeat_at;
+    steady_time m_heartbeat_sent_at{}; ///< The last one, whatever became of it.
     bool m_last_heartbeat_failed{false};
     steady_time m_next_heartbeat{};
     bool m_heartbeat_in_flight{false};
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -25,6 +25,9 @@
 inline const std::string member_prefix = "member/";
 inline const std::string coordinator_key = "steward";
 
+/// One row a witness, see lease_witnesses.hpp; the keys are the instances' names.
+inline const std::string witnesses_table = "anvilmount_witnesses";
+
 /// Row of the records table with the set of account homes; no group has this name.
 inline const std::string account_homes_key = "account_homes";
 
@@ -68,6 +71,12 @@
     auto operator<=>(const member_record&) const = default;
 };
 
+/// The row of a witness.
+struct witness_record {
+    std::string m_incarnation{};
+    endpoint m_address{}; ///< Where it takes introductions.
+};
+
 /// A promotion that was ordered, or is about to be, and may still take effect.
 struct pending_promotion {
     group_name m_group{};
@@ -86,6 +95,7 @@
 
 /// Returns the JSON text that the store keeps.
 [[nodiscard]] std::string to_text(const member_record& record);
+[[nodiscard]] std::string to_text(const witness_record& record);
 [[nodiscard]] std::string to_text(const coordinator_record& record);
 [[nodiscard]] std::string to_text(const group_record& record);
 [[nodiscard]] std::string to_text(const renewal_counts& counts);
@@ -93,6 +103,7 @@
 
 /// Returns nothing when the text is not a record of this type.
 [[nodiscard]] std::optional<member_record> parse_member_record(const std::string& text);
+[[nodiscard]] std::optional<witness_record> parse_witness_record(const std::string& text);
 [[nodiscard]] std::optional<coordinator_record> parse_coordinator_record(const std::string& text);
 [[nodiscard]] std::optional<group_record> parse_group_record(const std::string& text);
 [[nodiscard]] std::optional<std::uint64_t> parse_settled_era(const std::string& text);
--- a/libs/gateway/include/anvilmount/gateway/member_directory.hpp
+++ b/libs/gateway/include/anvilmount/gateway/member_directory.hpp
@@ -7,6 +7,7 @@
 /// When the store comes back from an older copy, rows are missing and rows of processes that have
 /// ended are back. Members known from before are kept until they had the time to register again, and
 /// a process that was seen to leave or to be replaced is never taken for alive again (process_order.hpp).
+/// Instances that have introduced themselves since the table was last read count among these members.
 ///
 /// A line of the log says which process is counted from when on, until when, by which row and why.
 #pragma once
@@ -47,6 +48,10 @@
     /// older than the newest applied is not.
     bool apply(const store_answer& reply, steady_time as_of, steady_time now);
 
+    /// Another instance has said that it obtained a lease; the store listed it already. `record` is its
+    /// row, with its registration.
+    void introduce(const member_record& record, steady_time now);
+
     /// All instances, this one included once it is registered. Key: row key.
     [[nodiscard]] std::map<std::string, known_member>& members() { return m_members; }
     [[nodiscard]] const std::map<std::string, known_member>& members() const { return m_members; }
@@ -86,9 +91,15 @@
         steady_time m_changed_at{};
     };
 
+    struct introduced_member {
+        member_record m_record{};
+        steady_time m_received_at{};
+    };
+
     void begin_era(steady_time now);
+    void carry_over_introduced(steady_time now);
     void remove_unlisted(const store_answer& reply);
-    void remove_unregistered(steady_time now);
+    void remove_unregistered();
     void remove(const std::string& key, const store_version& version);
     void apply_row(const store_row& row, steady_time now);
     void apply_member(const store_row& row, steady_time now);
@@ -108,6 +119,8 @@
     std::optional<store_row> m_own_row;
     /// Members that the store does not list at present, and until when their leases may hold. Key: row key.
     std::map<std::string, steady_time> m_carried_over;
+    /// Instances that introduced themselves since the table was read. Key: row key.
+    std::map<std::string, introduced_member> m_introduced;
     /// When the last process that removed its row had registered. Key: row key.
     std::map<std::string, store_version> m_left;
     int m_logged_changes{0}; ///< Of the answer that is being applied.
--- a/libs/gateway/include/anvilmount/gateway/store_questions.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_questions.hpp
@@ -1,7 +1,7 @@
 /// \file store_questions.hpp
 /// A store question is a request to the metadata store that one instance sends to another, which
 /// relays it. Defines the questions and the encoding of questions and replies between the two
-/// instances.
+/// instances. An introduction takes the same way; the instance that gets it answers it itself.
 #pragma once
 
 #include "anvilmount/gateway/ports.hpp"
@@ -28,7 +28,16 @@
     milliseconds m_timeout{0};
 };
 
-using store_question = std::variant<read_question, follow_question, store_change>;
+/// Tells a witness that the sender has obtained a lease; see introductions.hpp. Answered with
+/// store_status::done if the witness knows the sender from now on, and with conflict if the process that
+/// is addressed has ended.
+struct member_introduction {
+    std::string m_to_incarnation{};
+    std::string m_member{};  ///< The sender's row.
+    store_version m_since{}; ///< At which the lease was obtained.
+};
+
+using store_question = std::variant<read_question, follow_question, store_change, member_introduction>;
 
 /// Returns the question as the bytes of a peer::store_question message.
 [[nodiscard]] std::string encode_question(const store_question& request);
--- a/libs/gateway/include/anvilmount/gateway/store_relay.hpp
+++ b/libs/gateway/include/anvilmount/gateway/store_relay.hpp
@@ -35,6 +35,10 @@
     /// Answers requests for this table from `copy`, which must outlive the relay.
     void share_copy(table_follower& copy);
 
+    /// Answers introductions, which are for this instance itself.
+    using introduction_handler = std::function<store_answer(const member_introduction&)>;
+    void set_introduction_handler(introduction_handler handler) { m_on_introduction = std::move(handler); }
+
     /// Answers one encoded request through `respond`.
     void serve(const std::string& request, responder respond);
 
@@ -119,6 +123,7 @@
     std::map<std::string, table_follower*> m_copies;
     std::map<std::string, shared_read> m_shared_reads; ///< Key: table.
     std::map<std::string, polled_table> m_polled;
+    introduction_handler m_on_introduction;
     store_row m_renewal_row;
     published_renewals m_renewals;
     std::list<waiting_follower> m_followers;
--- a/libs/gateway/src/era_recovery.cpp
+++ b/libs/gateway/src/era_recovery.cpp
@@ -21,10 +21,10 @@
 
 }
 
-void era_recovery::begin(std::uint64_t era, bool knew_members) {
+void era_recovery::begin(std::uint64_t era, bool was_witness) {
     m_era = era;
     m_era_seen_at = m_ports.m_clock->m_now();
-    m_leases_known_at = knew_members ? m_era_seen_at : m_era_seen_at + m_max_lease;
+    m_leases_known_at = m_era_seen_at + (was_witness ? m_max_provisional_lease : m_max_lease);
 }
 
 bool era_recovery::has_read_tables() const {
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -80,6 +80,13 @@
 /// Between two decisions about the account homes.
 constexpr milliseconds homes_plan_interval{200};
 
+/// Between two heartbeats while the lease is provisional: three of them in one such lease.
+constexpr milliseconds provisional_heartbeat_interval{450};
+
+/// This many successors of the active coordinator are witnesses. One that is a witness already remains so
+/// while it is among twice as many, since each change of the role is a change of the store.
+constexpr int witness_successors = 3;
+
 /// After a longer gap between polls, heartbeats may have been missed.
 constexpr milliseconds max_steady_poll_gap{4000};
 
@@ -110,7 +117,12 @@
                   .m_directory = &m_directory,
                   .m_records = &m_records,
                   .m_groups = &m_groups},
-                 m_lease.duration() + lease_margin),
+                 m_lease.duration() + lease_margin,
+                 confirmation_lease::provisional_duration + lease_margin),
+      m_witnesses({.m_name = m_options.m_name,
+                   .m_incarnation = m_options.m_incarnation,
+                   .m_address = m_options.m_store_relay_address},
+                  make_witness_ports()),
       m_homes_plan({.m_change_interval = m_options.m_account_homes_interval}) {}
 
 void fleet_coordinator::start() {
@@ -118,16 +130,47 @@
     poll_members();
 }
 
+witness_ports fleet_coordinator::make_witness_ports() {
+    return {.m_clock = m_ports.m_clock,
+            .m_store = m_ports.m_store,
+            .m_directory = &m_directory,
+            .m_lease = &m_lease,
+            .m_metrics = &m_metrics,
+            .m_send_peer_request = m_ports.m_send_peer_request,
+            .m_own_record =
+                [this] {
+                    member_record record = own_record();
+                    record.m_registration =
+                        m_own_row_process ? m_own_row_process->m_registered_at : m_witnesses.lease_since();
+                    return record;
+                },
+            .m_is_lease_over = [this](const known_member& peer) { return is_lease_over(peer); },
+            .m_poll_members =
+                [this] {
+                    const steady_time regular = m_next_poll;
+                    poll_members();
+                    m_next_poll = std::min(m_next_poll, regular);
+                }};
+}
+
+bool fleet_coordinator::should_be_witness() const {
+    return m_knows_fleet && !m_resigned &&
+           (m_is_active || successor_rank() < witness_successors * (m_is_witness ? 2 : 1));
+}
+
 void fleet_coordinator::on_new_era(std::uint64_t era) {
     const bool is_first = m_recovery.era() == 0;
-    m_recovery.begin(era, !is_first && knows_members() && m_lease.is_valid(m_ports.m_clock->m_now()));
+    const bool was_witness = !is_first && m_witnesses.knows_all_leases();
+    m_witnesses.on_new_era(era);
+    m_recovery.begin(era, was_witness);
     if (is_first) {
         return;
     }
     log_event(log_level::warning, "store.restored",
               {{"era", std::to_string(era)},
                {"records_known", to_string(m_records.version())},
-               {"members_known", to_string(m_directory.version())}});
+               {"members_known", to_string(m_directory.version())},
+               {"witness", was_witness ? "yes" : "no"}});
     m_records_head = {};
     m_coordinator_version = {};
     m_reported_record.reset();
@@ -285,6 +328,7 @@
     m_heartbeat_in_flight = true;
     m_coordinator_write_in_flight = m_coordinator_write_in_flight || m_is_active;
     const steady_time now = m_ports.m_clock->m_now();
+    m_heartbeat_sent_at = now;
     m_next_heartbeat = now + (m_is_active ? m_proof.limit_interval(coordinator_renewal_interval)
                                           : intervals().m_heartbeat_interval);
     const member_record record = own_record();
@@ -358,7 +402,12 @@
     }
     // The records known here were the newest, and other instances know of this one.
     const bool is_first = !std::exchange(m_last_heartbeat_at, sent_at).has_value();
-    m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_recovery.era());
+    const bool is_new_lease = m_lease.renew(sent_at, m_ports.m_clock->m_now(), m_recovery.era());
+    const bool is_of_new_era =
+        m_lease.is_provisional() && m_witnesses.lease_since().m_era != reply.m_version.m_era;
+    if (is_new_lease || is_of_new_era) {
+        m_witnesses.on_lease_obtained(reply.m_version);
+    }
     m_ports.m_on_heartbeat(sent_at);
     if (m_is_active && renewed) {
         m_coordinator_version = reply.m_version;
@@ -466,6 +515,7 @@
     adopt_coordinator_row();
     check_own_row();
     m_records_head = std::max(m_records_head, m_directory.records_head());
+    m_is_witness = should_be_witness();
     probe_unreachable_primaries();
     try_become_active();
     if (m_is_active) {
@@ -665,6 +715,10 @@
     return m_directory.read_at() < peer.m_heartbeat_seen_at + silence_timeout;
 }
 
+bool fleet_coordinator::is_lease_over(const known_member& peer) const {
+    return m_directory.read_at() >= peer.m_heartbeat_seen_at + m_lease.duration() + lease_margin;
+}
+
 int fleet_coordinator::live_instances() const {
     const auto alive = std::count_if(m_directory.members().begin(), m_directory.members().end(),
                                      [&](const auto& each) { return is_alive(each.second); });
@@ -822,9 +876,10 @@
     const bool may_send = !m_last_heartbeat_at || now >= *m_last_heartbeat_at + min_heartbeat_interval;
     if (may_send && has_urgent_report()) {
         heartbeat(milliseconds{0});
-    } else if (now >= m_next_heartbeat) {
+    } else if (now >= m_next_heartbeat ||
+               (m_lease.is_provisional() && now >= m_heartbeat_sent_at + provisional_heartbeat_interval)) {
         const milliseconds short_delay = is_large_fleet() ? urgent_batch_delay : milliseconds{0};
-        const bool on_time = m_last_heartbeat_at && !m_last_heartbeat_failed;
+        const bool on_time = m_last_heartbeat_at && !m_last_heartbeat_failed && !m_lease.is_provisional();
         heartbeat(on_time ? intervals().m_heartbeat_batch_delay : short_delay);
     }
     const bool switching =
@@ -838,6 +893,9 @@
     if (now >= m_next_poll) {
         poll_members();
     }
+    m_witnesses.tick({.m_knows_fleet = m_knows_fleet,
+                      .m_is_witness = m_is_witness && !m_resigned,
+                      .m_is_coordinator = m_is_active});
     if (m_recovery.is_pending() && m_recovery.tick(successor_rank())) {
         m_next_poll = std::min(m_next_poll, now + recovery_poll_delay);
     }
@@ -885,10 +943,8 @@
             continue;
         }
         const bool agreed = has_acknowledged(each.m_record, name, record.m_epoch, record_version);
-        const bool lease_expired =
-            m_directory.read_at() >= each.m_heartbeat_seen_at + m_lease.duration() + lease_margin;
         members.push_back({.m_has_acknowledged = agreed,
-                           .m_cannot_use_primary = lease_expired,
+                           .m_cannot_use_primary = is_lease_over(each),
                            .m_has_connections = is_holder(each.m_record.m_name),
                            .m_cannot_reach_primary = each.m_record.m_unreachable_primaries.contains(name),
                            .m_is_alive = is_alive(each)});
@@ -1130,6 +1186,7 @@
 
 void fleet_coordinator::deregister() {
     m_deregistered = true;
+    m_witnesses.leave();
     remove_own_row(true);
 }
 
--- a/libs/gateway/src/fleet_membership.cpp
+++ b/libs/gateway/src/fleet_membership.cpp
@@ -87,6 +87,10 @@
     return text.dump();
 }
 
+std::string to_text(const witness_record& record) {
+    return json{{"incarnation", record.m_incarnation}, {"address", to_string(record.m_address)}}.dump();
+}
+
 std::string to_text(const coordinator_record& record) {
     json pending = json::array();
     for (const pending_promotion& each : record.m_pending) {
@@ -142,6 +146,13 @@
     });
 }
 
+std::optional<witness_record> parse_witness_record(const std::string& text) {
+    return parse_record(text, [](const json& value) {
+        return witness_record{.m_incarnation = value.at("incarnation").get<std::string>(),
+                              .m_address = parse_address(value.at("address"))};
+    });
+}
+
 std::optional<coordinator_record> parse_coordinator_record(const std::string& text) {
     return parse_record(text, [](const json& value) {
         coordinator_record record{.m_holder = value.at("holder").get<std::string>(),
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -80,6 +80,7 @@
            .m_promote = m_ports.m_promote,
            .m_read_status = m_ports.m_read_status,
            .m_probe = m_ports.m_probe,
+           .m_send_peer_request = m_ports.m_send_peer_request,
            .m_configuration = m_ports.m_configuration,
            .m_on_account_homes = [this](const auto& stored,
                                         std::uint64_t era) { on_account_homes(stored, era); },
@@ -93,6 +94,9 @@
     }
     m_store.set_order(std::move(initial_order));
     m_relay.share_copy(m_fleet_coordinator.records());
+    m_relay.set_introduction_handler([this](const member_introduction& introduction) {
+        return m_fleet_coordinator.on_introduction(introduction);
+    });
     m_era.set_handler([this](std::uint64_t era) { on_new_era(era); });
 }
 
@@ -701,6 +705,7 @@
             {"ready", is_ready()},
             {"steward", m_fleet_coordinator.is_active()},
             {"lease_holds", m_lease.is_valid(now)},
+            {"lease_provisional", m_lease.is_provisional()},
             {"instances", m_fleet_coordinator.live_instances()},
             {"store_era", m_era.current()},
             {"sessions", m_sessions.size()},
--- a/libs/gateway/src/member_directory.cpp
+++ b/libs/gateway/src/member_directory.cpp
@@ -42,7 +42,9 @@
             apply_row(row, now);
         }
     }
-    remove_unregistered(now);
+    remove_unregistered();
+    // Whoever introduced itself before the read is listed, or has left since.
+    std::erase_if(m_introduced, [&](const auto& each) { return each.second.m_received_at < as_of; });
     m_version = reply.m_version;
     m_loaded = true;
     if (is_first) {
@@ -78,12 +80,39 @@
             member.m_heartbeat_seen_at = now;
         }
     }
+    carry_over_introduced(now);
 }
 
-void member_directory::remove_unregistered(steady_time now) {
+void member_directory::introduce(const member_record& record, steady_time now) {
+    m_introduced[member_prefix + record.m_name] = {.m_record = record, .m_received_at = now};
+}
+
+void member_directory::carry_over_introduced(steady_time now) {
+    for (const auto& [key, each] : m_introduced) {
+        const store_version registered_at = each.m_record.m_registration.value_or(store_version{});
+        const auto known = m_members.find(key);
+        const bool is_known = known != m_members.end();
+        const bool is_outdated = is_known &&
+                                 known->second.m_record.m_incarnation != each.m_record.m_incarnation &&
+                                 known->second.m_registered_at > registered_at;
+        if (key == m_own_key || is_outdated) {
+            continue;
+        }
+        known_member& member = m_members[key];
+        if (!is_known || member.m_record.m_incarnation != each.m_record.m_incarnation) {
+            member = {.m_record = each.m_record, .m_registered_at = registered_at};
+            log_change("member.counted", key, member, "introduced itself");
+        }
+        member.m_heartbeat_seen_at = now;
+        m_carried_over[key] = now + max_lease;
+        m_left.erase(key);
+    }
+}
+
+void member_directory::remove_unregistered() {
     std::erase_if(m_carried_over, [&](const auto& each) {
         const auto& [key, until] = each;
-        if (now < until) {
+        if (m_read_at < until) {
             return false;
         }
         // Whoever has not registered again by now cannot use a primary any more.
--- a/libs/gateway/src/store_questions.cpp
+++ b/libs/gateway/src/store_questions.cpp
@@ -78,6 +78,11 @@
         out.mutable_follow()->set_after(follow->m_after_version.m_number);
         out.mutable_follow()->set_after_era(follow->m_after_version.m_era);
         out.mutable_follow()->set_wait_ms(static_cast<std::uint32_t>(follow->m_timeout.count()));
+    } else if (const auto* introduction = std::get_if<member_introduction>(&request)) {
+        out.mutable_introduce()->set_to_incarnation(introduction->m_to_incarnation);
+        out.mutable_introduce()->set_member(introduction->m_member);
+        out.mutable_introduce()->set_since(introduction->m_since.m_number);
+        out.mutable_introduce()->set_since_era(introduction->m_since.m_era);
     } else {
         const auto& change = std::get<store_change>(request);
         peer::change_rows& rows = *out.mutable_change();
@@ -115,6 +120,12 @@
             .m_after_version = {.m_era = in.follow().after_era(), .m_number = in.follow().after()},
             .m_timeout = milliseconds{in.follow().wait_ms()}};
     }
+    if (in.has_introduce()) {
+        return member_introduction{
+            .m_to_incarnation = in.introduce().to_incarnation(),
+            .m_member = in.introduce().member(),
+            .m_since = {.m_era = in.introduce().since_era(), .m_number = in.introduce().since()}};
+    }
     if (in.has_change()) {
         store_change change{.m_expected = decode_rows(in.change().expected()),
                             .m_writes = decode_rows(in.change().writes()),
--- a/libs/gateway/src/store_relay.cpp
+++ b/libs/gateway/src/store_relay.cpp
@@ -114,6 +114,11 @@
         respond(std::nullopt);
         return;
     }
+    if (const auto* introduction = std::get_if<member_introduction>(&*request)) {
+        respond(m_on_introduction ? std::optional(encode_reply(m_on_introduction(*introduction)))
+                                  : std::nullopt);
+        return;
+    }
     assume_current_era(*request);
     m_metrics.count("store_questions_served");
     const store_callback done = [respond = std::move(respond)](const store_answer& reply) {
@@ -153,7 +158,8 @@
         done(answer_from(followed->copy(), request));
         return;
     }
-    if (m_copies.contains(request.m_table)) {
+    // Whoever reads the witnesses needs to know those of now.
+    if (m_copies.contains(request.m_table) || request.m_table == witnesses_table) {
         read_whole(request.m_table, done);
         return;
     }
--- a/test/gateway/confirmation_lease.cpp
+++ b/test/gateway/confirmation_lease.cpp
@@ -50,3 +50,27 @@
     lease.renew(start + 30s, start + 30s, 1);
     BOOST_TEST(lease.covers(1));
 }
+
+/// The store may forget a lease that the witnesses do not know of.
+BOOST_AUTO_TEST_CASE(a_provisional_lease_is_short_until_it_is_known) {
+    confirmation_lease lease(10s);
+    BOOST_TEST(lease.renew(start, start, 1));
+    lease.make_provisional();
+    BOOST_TEST(lease.is_valid(start + confirmation_lease::provisional_duration - 1ms));
+    BOOST_TEST(!lease.is_valid(start + confirmation_lease::provisional_duration));
+    BOOST_TEST(!lease.renew(start + 1s, start + 1s, 1));
+    lease.confirm_known(start + 2s);
+    BOOST_TEST(!lease.is_provisional());
+    BOOST_TEST(lease.is_valid(start + 10s));
+}
+
+/// After a restore the witnesses stop waiting for it.
+BOOST_AUTO_TEST_CASE(a_provisional_lease_that_has_lapsed_does_not_come_back) {
+    confirmation_lease lease(10s);
+    lease.renew(start, start, 1);
+    lease.make_provisional();
+    lease.confirm_known(start + 2s);
+    BOOST_TEST(lease.is_provisional());
+    BOOST_TEST(!lease.is_valid(start + 2s));
+    BOOST_TEST(lease.renew(start + 3s, start + 3s, 1));
+}
--- a/test/gateway/member_directory.cpp
+++ b/test/gateway/member_directory.cpp
@@ -241,3 +241,37 @@
                     start + 61s);
     BOOST_TEST((member(directory, "b").m_heartbeat_seen_at == start));
 }
+
+/// An instance that introduced itself after the last read is not forgotten with the store's newest rows.
+BOOST_AUTO_TEST_CASE(an_introduced_member_is_kept_when_the_store_goes_back) {
+    gateway::member_directory directory("a");
+    const auto table = [](std::uint64_t era, std::uint64_t version, std::vector<store_row> rows) {
+        store_answer reply = answer(std::move(rows), version, false);
+        gateway::set_era(reply, era);
+        return reply;
+    };
+    directory.apply(table(1, 2, {member_row("a", 1), member_row("b", 2)}), start, start);
+    const auto introduced = gateway::parse_member_record(member_row("c", 3).m_value);
+    directory.introduce(*introduced, start + 100ms);
+    // Read before it was introduced: it need not be listed.
+    directory.apply(table(1, 2, {member_row("a", 1), member_row("b", 2)}), start + 50ms, start + 150ms);
+    BOOST_TEST(directory.members().size() == 2U);
+    directory.apply(table(2, 2, {member_row("a", 1), member_row("b", 2)}), start + 2s, start + 2s);
+    BOOST_TEST(directory.members().size() == 3U);
+    BOOST_TEST((member(directory, "c").m_heartbeat_seen_at == start + 2s));
+    BOOST_TEST(directory.unregistered_members().size() == 1U);
+    directory.apply(table(2, 3, {member_row("a", 1), member_row("b", 2)}), start + 15s, start + 15s);
+    BOOST_TEST(directory.members().size() == 2U);
+}
+
+/// It removed its row after it introduced itself.
+BOOST_AUTO_TEST_CASE(an_introduced_member_that_a_later_read_lacks_has_left) {
+    gateway::member_directory directory("a");
+    directory.apply(answer({member_row("a", 1)}, 1, false), start, start);
+    directory.introduce(*gateway::parse_member_record(member_row("c", 3).m_value), start + 100ms);
+    directory.apply(answer({}, 4, true), start + 1s, start + 1s);
+    store_answer restored = answer({member_row("a", 1)}, 1, false);
+    gateway::set_era(restored, 1);
+    directory.apply(restored, start + 2s, start + 2s);
+    BOOST_TEST(directory.members().size() == 1U);
+}
