Do not use the witnesses' rows after a restore has dropped them

A store that came back while an instance's own row was being written left the copy of the rows unset, and the answer wrote into it: the process ended.

The answer no longer touches the copy; the rows are read again before the next change.

gateway/lease_histories plays random histories of a fleet: starts, ends, cuts, restores, changes of primary.

--- a/libs/gateway/include/anvilmount/gateway/lease_witnesses.hpp
+++ b/libs/gateway/include/anvilmount/gateway/lease_witnesses.hpp
@@ -89,6 +89,8 @@
     void introduce(const listed_witness& witness);
     [[nodiscard]] store_row own_row() const;
     void store_own_row();
+    /// `since`: of the lease that was held when the row was sent.
+    void on_own_row_stored(const store_version& since, const store_answer& reply);
     void remove_own_row();
     void remove_ended_rows();
 
--- a/libs/gateway/src/lease_witnesses.cpp
+++ b/libs/gateway/src/lease_witnesses.cpp
@@ -203,26 +203,24 @@
     const store_row expected = row;
     row.m_value =
         to_text(witness_record{.m_incarnation = m_options.m_incarnation, .m_address = m_options.m_address});
-    m_ports.m_store->m_change({.m_expected = {expected}, .m_writes = {row}}, [this, row,
-                                                                              since =
-                                                                                  m_introductions.since()](
-                                                                                 const store_answer&
-                                                                                     reply) mutable {
-        m_change_in_flight = false;
-        const bool is_done = reply.m_status == store_status::done && reply.m_version.m_era == m_era;
-        if (!is_done || m_has_left) {
-            m_rows.reset();
-            return;
-        }
-        row.m_version = reply.m_version;
-        (*m_rows)[row.m_key] = row;
-        if (since == m_introductions.since()) {
-            m_witness_since = reply.m_version;
-            m_next_change = {};
-            m_ports.m_poll_members();
-            log_event(log_level::info, "member.became_witness", {{"since", to_string(reply.m_version)}});
-        }
-    });
+    m_ports.m_store->m_change({.m_expected = {expected}, .m_writes = {row}},
+                              [this, since = m_introductions.since()](const store_answer& reply) {
+                                  m_change_in_flight = false;
+                                  on_own_row_stored(since, reply);
+                              });
+}
+
+void lease_witnesses::on_own_row_stored(const store_version& since, const store_answer& reply) {
+    // The row's version, which later changes need, is read again.
+    m_rows.reset();
+    const bool is_of_this_lease = since == m_introductions.since();
+    if (reply.m_status != store_status::done || reply.m_version.m_era != m_era || !is_of_this_lease ||
+        m_has_left) {
+        return;
+    }
+    m_witness_since = reply.m_version;
+    m_ports.m_poll_members();
+    log_event(log_level::info, "member.became_witness", {{"since", to_string(reply.m_version)}});
 }
 
 void lease_witnesses::remove_own_row() {
--- a/test/support/fake_upstreams.cpp
+++ b/test/support/fake_upstreams.cpp
@@ -279,6 +279,7 @@
     } else if (writes) {
         commit(upstream);
     }
+    m_runs.back().m_position = upstream.m_position;
     answer reply = done("proof-" + what.m_id);
     if (!writes && !commits) {
         reply.m_rows = upstream.m_rows;
--- a/test/support/fake_upstreams.hpp
+++ b/test/support/fake_upstreams.hpp
@@ -28,6 +28,7 @@
     std::string m_text{};
     gateway::session_values m_values{};
     bool m_in_transaction{false};
+    log_position m_position{}; ///< End of the upstream's log afterwards.
 };
 
 /// State and faults of one upstream.
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -57,6 +57,7 @@
 
 void test_caller::send(gateway::statement_kind kind, const std::string& text, const std::string& name,
                        const std::string& argument, bool writes) {
+    m_sent.push_back(text);
     m_session->on_statement({.m_id = "q" + std::to_string(m_next_statement++),
                              .m_kind = kind,
                              .m_text = text,
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -37,6 +37,7 @@
     void require_revision(std::uint64_t revision) { m_session->require_revision(revision); }
 
     std::vector<gateway::answer> m_answers;
+    std::vector<std::string> m_sent; ///< Texts of the statements, in order.
     std::optional<result_code> m_rejected;
 
 private:
