Clear the connection that was used longest ago

When no idle connection has a session's values, the pool cleared the one used last, whose session is the likeliest to come back.

--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -276,7 +276,8 @@
             continue;
         }
         const setup_distance distance = (*each)->m_session.distance_to(needs);
-        if (!chosen || distance < least) {
+        // The connection to clear is the one used longest ago: the others' sessions come back sooner.
+        if (!chosen || distance < least || distance == setup_distance::reset) {
             chosen = *each;
             least = distance;
         }
