Bound how often a witness reads the rows while the store refuses

A read that fails was repeated at the next tick, some milliseconds later. Found by reading; a test that reaches the few milliseconds in which it shows was not found.

--- a/libs/gateway/src/lease_witnesses.cpp
+++ b/libs/gateway/src/lease_witnesses.cpp
@@ -92,6 +92,7 @@
     if (should_change || reviews) {
         if (!m_rows || reviews) {
             m_next_review = reviews ? now + review_interval : m_next_review;
+            m_next_change = now + read_interval;
             read_rows();
         } else if (duties.m_is_witness) {
             store_own_row();
