Look again at the witnesses that do not answer

An instance that started while a witness had just vanished kept a provisional lease, with a heartbeat each 450 ms, for good: the list of witnesses was read once, and one that was on it stayed there after its own lease was over. Found by reading; the test in gateway/unknown_leases fails before.

While a witness does not answer, the rows are read again each 2 s. One whose lease is over, or whose row the coordinator has removed, is not waited for.

--- a/libs/gateway/src/lease_witnesses.cpp
+++ b/libs/gateway/src/lease_witnesses.cpp
@@ -12,6 +12,9 @@
 /// Between two reads of the rows; the first one may fail, or be answered from before the lease.
 constexpr milliseconds read_interval{250};
 
+/// While a witness does not answer: it may have ended, and its row be removed.
+constexpr milliseconds reread_interval{2000};
+
 /// Several times the time of a message between data centres.
 constexpr milliseconds introduction_timeout{200};
 
@@ -107,14 +110,14 @@
 
 void lease_witnesses::advance_introductions(bool may_read) {
     const steady_time now = m_ports.m_clock->m_now();
-    if (may_read && m_introductions.needs_read() && now >= m_read_sent_at + read_interval) {
-        read_rows();
-        return;
-    }
     if (m_introductions.are_complete()) {
         m_ports.m_lease->confirm_known(now);
         return;
     }
+    const milliseconds interval = m_introductions.needs_read() ? read_interval : reread_interval;
+    if (may_read && now >= m_read_sent_at + interval) {
+        read_rows();
+    }
     for (const listed_witness& each : m_introductions.take_due(now)) {
         introduce(each);
     }
--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -345,7 +345,7 @@
     if (!reply.succeeded()) {
         connection->m_setup_failed = true;
         m_metrics.count("connection_setup_failures");
-        log_event(log_level::warning, "upstream.setup_failed",
+        log_event(log_level::warning, "upstream.preparation_failed",
                   {{"upstream", m_entry.m_id.m_text},
                    {"step", std::string(name_of(step.m_kind))},
                    {"code", std::to_string(number_of(reply.m_code))},
--- a/test/gateway/unknown_leases.cpp
+++ b/test/gateway/unknown_leases.cpp
@@ -218,3 +218,21 @@
     fleet.run_for(1000ms);
     BOOST_TEST(!fleet.instance(4).state_dump()["lease_provisional"].get<bool>());
 }
+
+/// A witness that vanished a moment ago may hold a lease, so an instance that starts keeps a provisional
+/// one for as long, and must be able to serve with it.
+BOOST_AUTO_TEST_CASE(a_witness_that_has_just_vanished_delays_a_whole_lease_by_its_own) {
+    test::gateway_fleet fleet(4);
+    fleet.run_for(5000ms);
+    fleet.lose_power(1);
+    fleet.start(5);
+    fleet.run_for(1000ms);
+    const auto is_provisional = [&] {
+        return fleet.instance(5).state_dump()["lease_provisional"].get<bool>();
+    };
+    BOOST_TEST(is_provisional());
+    for (int round = 0; round < 70; ++round) {
+        BOOST_TEST(fleet.write_succeeds(5, 200ms));
+    }
+    BOOST_TEST(!is_provisional());
+}
