Do not clear a connection where another one only lacks a value

The change that clears the connection used longest ago also took it over one that needs no clearing, if it came later in the list.

Found by reading the diff; the test in gateway/session_setup fails before.

--- a/libs/gateway/src/upstream_pool.cpp
+++ b/libs/gateway/src/upstream_pool.cpp
@@ -277,7 +277,8 @@
         }
         const setup_distance distance = (*each)->m_session.distance_to(needs);
         // The connection to clear is the one used longest ago: the others' sessions come back sooner.
-        if (!chosen || distance < least || distance == setup_distance::reset) {
+        const bool is_cleared = distance == setup_distance::reset && least == setup_distance::reset;
+        if (distance < least || is_cleared) {
             chosen = *each;
             least = distance;
         }
--- a/test/gateway/session_setup.cpp
+++ b/test/gateway/session_setup.cpp
@@ -233,6 +233,32 @@
     BOOST_TEST(received[step::forwarded] == before.at(step::forwarded) + 10);
 }
 
+/// Clearing a connection takes its values from a session that may come back.
+BOOST_AUTO_TEST_CASE(a_connection_that_only_lacks_a_value_is_preferred_to_one_that_has_to_be_cleared) {
+    test::gateway_fleet fleet(1);
+    owner first(fleet, "first");
+    first.m_caller.send(kind::set_value, "SET zone a", "zone", "a");
+    std::vector<std::unique_ptr<test::test_caller>> plain;
+    for (int number = 0; number < 8; ++number) {
+        plain.push_back(std::make_unique<test::test_caller>(fleet.instance(1), "pay"));
+    }
+    first.m_caller.send(kind::read, "READ 1");
+    // The connections without values are used last.
+    for (int round = 0; round < 2; ++round) {
+        for (const auto& each : plain) {
+            each->send(kind::read, "READ 2");
+        }
+        fleet.run_for(round == 0 ? 15ms : 300ms);
+    }
+    auto& received = fleet.m_upstreams.m_received;
+    const int before = received[step::reset];
+    owner second(fleet, "second");
+    second.m_caller.send(kind::read, "READ second");
+    fleet.run_for(100ms);
+    BOOST_TEST(runs_with_own_values(fleet, "second") == 1);
+    BOOST_TEST(received[step::reset] == before);
+}
+
 /// A connection that another session has left ready is preferred to one that has to be cleared.
 BOOST_AUTO_TEST_CASE(a_connection_that_needs_no_setup_is_preferred) {
     test::gateway_fleet fleet(1);
