Let what the witnesses know outlive them

Cause: a witness marked the era as settled only when provisional leases were over, 1.7 s later, and a restart took what it knew away before. And with three witnesses besides the coordinator, a fleet that restarts in turn had none left at the restore.

Change: a witness settles the era at once; whoever finds it settled waits 1.7 s from when it saw the era itself. Eight successors are witnesses in place of three, so all instances of a small fleet.

The test in gateway/unknown_leases fails before.

--- a/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
+++ b/libs/gateway/include/anvilmount/gateway/era_recovery.hpp
@@ -78,7 +78,7 @@
     milliseconds m_max_provisional_lease;
     std::uint64_t m_era{0};
     steady_time m_era_seen_at{};
-    steady_time m_leases_known_at{}; ///< Until then, see knows_all_leases().
+    bool m_was_witness{false}; ///< As the present era began.
     /// Groups of which a newer record is known here than the store has.
     std::set<group_name> m_lost_records;
     steady_time m_next_write_back{};
--- a/libs/gateway/src/era_recovery.cpp
+++ b/libs/gateway/src/era_recovery.cpp
@@ -24,7 +24,7 @@
 void era_recovery::begin(std::uint64_t era, bool was_witness) {
     m_era = era;
     m_era_seen_at = m_ports.m_clock->m_now();
-    m_leases_known_at = m_era_seen_at + (was_witness ? m_max_provisional_lease : m_max_lease);
+    m_was_witness = was_witness;
 }
 
 bool era_recovery::has_read_tables() const {
@@ -44,8 +44,10 @@
 }
 
 bool era_recovery::knows_all_leases() const {
-    return is_first_era() || m_ports.m_directory->settled_era() >= m_era ||
-           m_ports.m_clock->m_now() >= m_leases_known_at;
+    // A provisional lease may be known to nobody, also where the table is settled.
+    const bool is_settled = m_was_witness || m_ports.m_directory->settled_era() >= m_era;
+    return is_first_era() ||
+           m_ports.m_clock->m_now() >= m_era_seen_at + (is_settled ? m_max_provisional_lease : m_max_lease);
 }
 
 bool era_recovery::is_pending() const {
@@ -90,7 +92,9 @@
 bool era_recovery::settle() {
     const steady_time now = m_ports.m_clock->m_now();
     const member_directory& directory = *m_ports.m_directory;
-    if (directory.version().m_era != m_era || directory.settled_era() >= m_era || !knows_all_leases() ||
+    // A witness does so at once: it may end, and with it what it knows.
+    const bool may_settle = m_was_witness || knows_all_leases();
+    if (directory.version().m_era != m_era || directory.settled_era() >= m_era || !may_settle ||
         now < m_next_settling) {
         return false;
     }
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -83,9 +83,10 @@
 /// Between two heartbeats while the lease is provisional: three of them in one such lease.
 constexpr milliseconds provisional_heartbeat_interval{450};
 
-/// This many successors of the active coordinator are witnesses. One that is a witness already remains so
-/// while it is among twice as many, since each change of the role is a change of the store.
-constexpr int witness_successors = 3;
+/// This many successors of the active coordinator are witnesses: all instances of a small fleet, so that
+/// some are left while it restarts in turn. One that is a witness already remains so while it is among
+/// twice as many, since each change of the role is a change of the store.
+constexpr int witness_successors = 8;
 
 /// After a longer gap between polls, heartbeats may have been missed.
 constexpr milliseconds max_steady_poll_gap{4000};
--- a/test/gateway/unknown_leases.cpp
+++ b/test/gateway/unknown_leases.cpp
@@ -190,6 +190,25 @@
     BOOST_TEST(is_replaced(fleet));
 }
 
+/// All processes restart a moment after the restore, and with them all that knew the leases.
+BOOST_AUTO_TEST_CASE(what_the_witnesses_know_outlives_a_restart_of_all) {
+    test::gateway_fleet fleet(3);
+    const auto earlier = fleet.m_store.back_up();
+    fleet.run_for(3000ms);
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(1000ms);
+    fleet.m_store.m_unreachable = false;
+    fleet.m_store.restore(earlier);
+    fleet.run_for(800ms);
+    for (const int number : {1, 2, 3}) {
+        fleet.kill(number);
+        fleet.start(number);
+    }
+    fleet.m_upstreams.crash("orders-1");
+    fleet.run_for(6000ms);
+    BOOST_TEST(is_replaced(fleet));
+}
+
 /// The others must not wait for the lease of one of them that has ended, or the instance that starts
 /// would be served by a provisional lease for long.
 BOOST_AUTO_TEST_CASE(a_new_lease_becomes_a_whole_one_at_once) {
