--- a/test/gateway/unknown_leases.cpp
+++ b/test/gateway/unknown_leases.cpp
@@ -106,6 +106,16 @@
     fleet.m_isolated.clear();
 }
 
+/// The store goes away for 1 s and comes back as it was 3 s before.
+void restore_from_before(test::gateway_fleet& fleet) {
+    const auto earlier = fleet.m_store.back_up();
+    fleet.run_for(3000ms);
+    fleet.m_store.m_unreachable = true;
+    fleet.run_for(1000ms);
+    fleet.m_store.m_unreachable = false;
+    fleet.m_store.restore(earlier);
+}
+
 void start_fourth(test::gateway_fleet& fleet) {
     fleet.start(4);
     fleet.run_for(5000ms);
@@ -179,12 +189,7 @@
 /// most, not for a whole one.
 BOOST_AUTO_TEST_CASE(a_promotion_after_a_restore_does_not_wait_for_a_lease) {
     test::gateway_fleet fleet(3);
-    const auto earlier = fleet.m_store.back_up();
-    fleet.run_for(3000ms);
-    fleet.m_store.m_unreachable = true;
-    fleet.run_for(1000ms);
-    fleet.m_store.m_unreachable = false;
-    fleet.m_store.restore(earlier);
+    restore_from_before(fleet);
     fleet.m_upstreams.crash("orders-1");
     fleet.run_for(confirmation_lease::provisional_duration + 2000ms);
     BOOST_TEST(is_replaced(fleet));
@@ -193,12 +198,7 @@
 /// All processes restart a moment after the restore, and with them all that knew the leases.
 BOOST_AUTO_TEST_CASE(what_the_witnesses_know_outlives_a_restart_of_all) {
     test::gateway_fleet fleet(3);
-    const auto earlier = fleet.m_store.back_up();
-    fleet.run_for(3000ms);
-    fleet.m_store.m_unreachable = true;
-    fleet.run_for(1000ms);
-    fleet.m_store.m_unreachable = false;
-    fleet.m_store.restore(earlier);
+    restore_from_before(fleet);
     fleet.run_for(800ms);
     for (const int number : {1, 2, 3}) {
         fleet.kill(number);
