--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -12,7 +12,7 @@
 directory=$(mktemp -d)
 trap 'rm -rf "$directory"' EXIT
 # The gateways are killed with the program that started them.
-timeout -k 2 115 "$program" "$root" "$directory" "$here/record.txt"
+timeout -k 2 115 "$program" "$root" "$directory" "$here/record.txt" crash
 code=$?
 [ "$code" -le 1 ] || { tail -1 "$here/record.txt" >&2; exit 2; }
 exit "$code"
--- a/review/standin-3/behind_promoted.cpp
+++ b/review/standin-3/behind_promoted.cpp
@@ -1,6 +1,7 @@
 /// \file behind_promoted.cpp
-/// One replica receives nothing for 5.5 s, and the primary crashes meanwhile. The other replica has all
-/// commits, answers, and serves the reads. The service has syncReplicas 1.
+/// One replica receives nothing for 5.5 s. Meanwhile the primary crashes (crash), or reports that it drains
+/// before a planned shutdown and goes on serving (drain). The other replica has all commits, answers, and
+/// serves the reads. The service has syncReplicas 1.
 #include "small_site.hpp"
 
 namespace {
@@ -14,6 +15,7 @@
 constexpr std::size_t other_replica = 1;
 constexpr milliseconds deaf_time{5500};
 constexpr milliseconds crash_after{4500};
+constexpr milliseconds drain_after{2300};
 constexpr milliseconds watch_after{12000};
 
 /// One session: a statement, its answer, a pause, the next. Connects again when it is cut or refused.
@@ -45,14 +47,15 @@
 }
 
 int main(int argc, char** argv) {
-    if (argc != 4) {
-        std::cerr << "usage: behind-promoted ROOT DIRECTORY RECORD\n";
+    if (argc != 5) {
+        std::cerr << "usage: behind-promoted ROOT DIRECTORY RECORD crash|drain\n";
         return 2;
     }
     std::signal(SIGPIPE, SIG_IGN);
     const char* const chosen = std::getenv("TROUBLE");
     const bool trouble = chosen == nullptr || std::string(chosen) != "0";
     record_file record(argv[3]);
+    const bool drains = std::string(argv[4]) == "drain";
     try {
         small_site site({.m_root = argv[1],
                          .m_directory = argv[2],
@@ -124,10 +127,16 @@
                 record.line("replica " + service::id_of(deaf_replica) + " receives nothing from now on");
                 site.backends().set_deaf(deaf_replica, true);
             }
-            if (trouble && !has_crashed && now >= started_at + crash_after) {
+            if (trouble && !has_crashed && now >= started_at + (drains ? drain_after : crash_after)) {
                 has_crashed = true;
-                site.backends().crash(0);
-                record.line("the primary i-0 crashes; received: " + service::id_of(other_replica) + " " +
+                if (drains) {
+                    site.report_draining(0);
+                } else {
+                    site.backends().crash(0);
+                }
+                record.line(std::string(drains ? "the primary i-0 reports draining and goes on serving"
+                                               : "the primary i-0 crashes") +
+                            "; received: " + service::id_of(other_replica) + " " +
                             std::to_string(site.backends().received_by(other_replica)) + " commits, " +
                             service::id_of(deaf_replica) + " " +
                             std::to_string(site.backends().received_by(deaf_replica)));
--- a/review/standin-3/small_site.hpp
+++ b/review/standin-3/small_site.hpp
@@ -363,6 +363,8 @@
         milliseconds m_work{8};
         milliseconds m_lag{60};
         int m_sync_replicas{0};
+        int m_rows{1}; ///< ROW messages of the answer to a read.
+        std::size_t m_row_bytes{5};
     };
 
     /// `on_role`: the registration of a backend changes. `on_promoted`: it leads, with this log.
@@ -734,7 +736,14 @@
             m_told.m_on_run({.m_backend = id_of(number), .m_id = id, .m_text = statement});
         }
         const std::string proof = "COMPLETE p." + std::to_string(++m_proofs) + "\r\n";
-        return command == "READ" ? "ROW value\r\n" + proof : proof;
+        if (command != "READ") {
+            return proof;
+        }
+        std::string answer;
+        for (int row = 0; row < m_options.m_rows; ++row) {
+            answer.append("ROW ").append(m_options.m_row_bytes, 'v').append("\r\n");
+        }
+        return answer + proof;
     }
 
     options m_options;
@@ -884,6 +893,11 @@
 
     [[nodiscard]] std::vector<machine>& machines() { return m_machines; }
     [[nodiscard]] service& backends() { return *m_service; }
+    /// The primary reports that it drains. It goes on serving.
+    void report_draining(int number) {
+        m_draining.insert(number);
+        register_backend(number, true);
+    }
     void set_promotion_handler(std::function<void(int, const std::vector<commit>&)> handler) {
         m_on_promoted = std::move(handler);
     }
@@ -971,7 +985,7 @@
                           {"zone", "gt-a"},
                           {"version", "v1"},
                           {"capacity", m_options.m_service.m_slots},
-                          {"state", "ready"},
+                          {"state", m_draining.contains(number) ? "draining" : "ready"},
                           {"coldRemainingMs", 0},
                           {"dbRole", is_primary ? "primary" : "replica"},
                           {"sequence", 1},
@@ -1033,6 +1047,7 @@
     address m_platform;
     std::unique_ptr<store> m_store;
     std::vector<address> m_backends;
+    std::set<int> m_draining;
     std::unique_ptr<service> m_service;
     std::function<void(int, const std::vector<commit>&)> m_on_promoted;
     std::vector<machine> m_machines;
@@ -1084,6 +1099,39 @@
     }
     [[nodiscard]] const std::string& rest() const { return m_rest; }
 
+    /// As answer(), but the rows are only counted.
+    std::optional<std::string> answer_without_rows(int& rows) {
+        std::string lines;
+        std::array<char, 65536> chunk{};
+        std::size_t at = 0;
+        for (;;) {
+            const std::size_t end = m_in.find("\r\n", at);
+            if (end == std::string::npos) {
+                m_in.erase(0, at);
+                at = 0;
+                const ssize_t got = m_fd < 0 ? 0 : recv(m_fd, chunk.data(), chunk.size(), 0);
+                if (got <= 0) {
+                    m_rest = lines;
+                    return std::nullopt;
+                }
+                m_in.append(chunk.data(), static_cast<std::size_t>(got));
+                continue;
+            }
+            const bool is_row = m_in.compare(at, 4, "ROW ") == 0;
+            const std::string line = is_row ? std::string{} : m_in.substr(at, end - at);
+            at = end + 2;
+            if (is_row) {
+                ++rows;
+                continue;
+            }
+            lines += lines.empty() ? line : " | " + line;
+            if (line.starts_with("READY ")) {
+                m_in.erase(0, at);
+                return lines;
+            }
+        }
+    }
+
 private:
     int m_fd;
     std::string m_in;
