--- a/review/standin-3/many_prepared.cpp
+++ b/review/standin-3/many_prepared.cpp
@@ -100,7 +100,7 @@
             return std::count_if(site.machines().begin(), site.machines().end(),
                                  [&](const machine& each) { return ends(each) >= 3; }) >= 2;
         };
-        const auto until = steady::now() + time_limit;
+        const auto until = steady::now() + (trouble ? time_limit : time_limit / 3);
         while (steady::now() < until && !fault()) {
             site.watch();
             std::this_thread::sleep_for(milliseconds{10});
