Begin a planned switch only with a candidate that follows the primary

Cause: plan_while_switching() ended its wait for the candidate after 1.5 s and promoted it, whatever the reports said. It neither took another candidate nor went back to the old primary.

Change: while the primary leaves and serves, the switch begins once a candidate has reported the log that the primary had at an earlier moment. The candidate is then any that holds the old primary's whole log. If none does within 0.4 s the old primary goes on, and the next attempt begins 1 s later at the earliest. Only when the time to drain is over is the candidate waited for without a primary: 1.5 s, or 10 s with synchronous replicas.

Test changed: a_leaving_primary_is_replaced_by_a_planned_switch expected the switch to begin with a candidate that lacked five commits; it now checks that it does not, and begins when the candidate holds them.

--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -11,6 +11,9 @@
 /// hold is known for good only then (candidate_choice.hpp); the candidate of the
 /// record is the first choice, made when the switch began.
 ///
+/// A planned switch begins only with a candidate that follows the primary, which
+/// serves meanwhile, and returns to the primary if no candidate catches up.
+///
 /// A record from before the store came back from an older copy may be outdated. The
 /// coordinator writes each one anew, under an epoch of the present era, once the
 /// upstreams' reports agree with it.
@@ -68,8 +71,7 @@
 struct plan_options {
     /// Time after which an instance that has not acknowledged the record holds no lease any more.
     milliseconds m_lease{12000};
-    milliseconds m_status_lifetime{400};   ///< Older status reports are ignored.
-    milliseconds m_catch_up_timeout{1500}; ///< Maximum wait for the candidate of a planned switch.
+    milliseconds m_status_lifetime{400}; ///< Older status reports are ignored.
     /// Maximum wait for the reports of all upstreams before a switch begins with the best one known.
     milliseconds m_first_report_wait{100};
     /// Maximum wait, while the group has no primary, for an upstream that may hold more than the best
@@ -79,6 +81,9 @@
     milliseconds m_synchronous_report_wait{10000};
     /// What an instance acknowledged that has left is known to the others after this time.
     milliseconds m_settled_instances_time{2000};
+    /// Maximum pause of a planned switch for its candidate; then the old primary goes on, if it may.
+    milliseconds m_catch_up_timeout{400};
+    milliseconds m_planned_retry_delay{1000}; ///< Before a planned switch is tried again.
     /// When the acknowledgements took longer than this, the old primary may have recovered meanwhile.
     milliseconds m_slow_switch_threshold{2500};
     /// Extra wait after a slow switch in which a recovered old primary can report.
@@ -126,6 +131,10 @@
     [[nodiscard]] milliseconds report_wait(const plan_view& view) const;
     [[nodiscard]] candidate_choice choose(const plan_view& view, const choice_context& context) const;
     [[nodiscard]] choice_context make_context(const plan_view& view, steady_time now) const;
+    /// Returns a candidate that does not leave and held `position` when it answered a request made since
+    /// `since`.
+    [[nodiscard]] const plan_upstream* find_follower(const plan_view& view, const log_position& position,
+                                                     steady_time since, steady_time now) const;
     [[nodiscard]] acknowledged_commits newest_acknowledged(const plan_view& view) const;
     [[nodiscard]] bool is_old_primary_back(const plan_view& view, steady_time now) const;
     [[nodiscard]] std::optional<plan_order>
@@ -133,10 +142,17 @@
     [[nodiscard]] plan_order plan_first_record(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order plan_in_new_era(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order plan_while_steady(const plan_view& view, steady_time now);
+    /// Returns the record that begins a planned switch, once a candidate follows `primary` or it may not
+    /// be used any more.
+    [[nodiscard]] std::optional<plan_order>
+    begin_planned_switch(const plan_view& view, const plan_upstream& primary, steady_time now);
     [[nodiscard]] plan_order begin_switch(const plan_view& view, bool planned, steady_time now);
     [[nodiscard]] plan_order plan_while_switching(const plan_view& view, steady_time now);
     /// Chooses the upstream to promote and orders it, once no instance can use the old primary.
     [[nodiscard]] plan_order plan_promotion(const plan_view& view, steady_time now);
+    /// In a planned switch: returns what to do until a candidate has the old primary's whole log; nothing
+    /// when the old primary need not be waited for any more.
+    [[nodiscard]] std::optional<plan_order> wait_for_catch_up(const plan_view& view, steady_time now);
     [[nodiscard]] plan_order promote(const plan_view& view, const upstream_id& target, steady_time now);
 
     plan_options m_options;
@@ -151,8 +167,15 @@
     group_record m_fenced_record;
     std::optional<steady_time> m_switch_wanted_since; ///< A switch is due and not begun.
     std::optional<steady_time>
-        m_primary_found_at;           ///< A primary to record was found; others may not have reported.
-    std::uint64_t m_demoted_epoch{0}; ///< Epoch in which an old primary was last demoted.
+        m_primary_found_at; ///< A primary to record was found; others may not have reported.
+    /// What a candidate of a planned switch has to hold when it answers a later request.
+    struct reference {
+        log_position m_position{};
+        steady_time m_at{};
+    };
+    std::optional<reference> m_reference;
+    steady_time m_next_planned_switch{}; ///< At the earliest, after one that was given up.
+    std::uint64_t m_demoted_epoch{0};    ///< Epoch in which an old primary was last demoted.
 };
 
 }
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -152,6 +152,21 @@
     return choice;
 }
 
+const plan_upstream* promotion_plan::find_follower(const plan_view& view, const log_position& position,
+                                                   steady_time since, steady_time now) const {
+    const choice_context context = make_context(view, now);
+    const plan_upstream* found = nullptr;
+    for (const plan_upstream& each : view.m_upstreams) {
+        const bool follows = is_candidate(each, context) && !each.m_leaving &&
+                             has_fresh_report(each, context) && *each.m_status_at >= since &&
+                             each.m_position >= position;
+        if (follows && (found == nullptr || each.m_id == view.m_record.m_candidate)) {
+            found = &each;
+        }
+    }
+    return found;
+}
+
 plan_order promotion_plan::next(const plan_view& view, steady_time now) {
     if (view.m_record.m_epoch == 0) {
         return plan_first_record(view, now);
@@ -263,7 +278,11 @@
     const bool is_leaving =
         primary != nullptr && primary->m_registered && primary->m_leaving && view.m_knows_all_leases;
     if (is_leaving) {
-        return begin_switch(view, true, now);
+        if (const auto order = begin_planned_switch(view, *primary, now)) {
+            return *order;
+        }
+    } else {
+        m_reference.reset();
     }
     const bool is_gone = view.m_registry_complete && (primary == nullptr || !primary->m_registered);
     const bool is_lost =
@@ -283,7 +302,36 @@
             return {.m_step = plan_step::demote, .m_target = each.m_id, .m_term = view.m_record.m_term};
         }
     }
-    return {};
+    return {.m_step = is_leaving ? plan_step::request_status : plan_step::wait};
+}
+
+std::optional<plan_order>
+promotion_plan::begin_planned_switch(const plan_view& view, const plan_upstream& primary, steady_time now) {
+    if (primary.m_departed || (view.m_primary_serves_until && now >= *view.m_primary_serves_until)) {
+        return begin_switch(view, true, now);
+    }
+    if (now < m_next_planned_switch) {
+        return std::nullopt;
+    }
+    const plan_upstream* follower =
+        m_reference ? find_follower(view, m_reference->m_position, m_reference->m_at, now) : nullptr;
+    if (follower != nullptr) {
+        group_record record = view.m_record;
+        record.m_stage = group_stage::switching;
+        record.m_candidate = follower->m_id;
+        record.m_planned = true;
+        return next_record(view, record);
+    }
+    if (!m_reference || now >= m_reference->m_at + m_options.m_status_lifetime) {
+        log_position known = newest_acknowledged(view).m_range.m_at_most;
+        if (is_fresh(primary, now)) {
+            known = std::max(known, primary.m_position);
+        }
+        if (known != log_position{}) {
+            m_reference = {.m_position = known, .m_at = now};
+        }
+    }
+    return std::nullopt;
 }
 
 plan_order promotion_plan::begin_switch(const plan_view& view, bool planned, steady_time now) {
@@ -327,6 +375,7 @@
 
 plan_order promotion_plan::plan_while_switching(const plan_view& view, steady_time now) {
     m_switch_wanted_since.reset();
+    m_reference.reset();
     const bool is_ordered = m_promoting_epoch == view.m_record.m_epoch && m_promotion_ordered_at;
     if (is_ordered && !m_promotion_failed &&
         now < *m_promotion_ordered_at + m_options.m_promotion_timeout) {
@@ -360,6 +409,11 @@
 }
 
 plan_order promotion_plan::plan_promotion(const plan_view& view, steady_time now) {
+    if (view.m_record.m_planned) {
+        if (const auto order = wait_for_catch_up(view, now)) {
+            return *order;
+        }
+    }
     choice_context context = make_context(view, now);
     context.m_complete_since = *m_fenced_at;
     context.m_wait = report_wait(view);
@@ -368,13 +422,43 @@
     if (!choice.m_is_complete) {
         return {.m_step = plan_step::request_status, .m_at_once = true};
     }
+    return promote(view, choice.m_best->m_id, now);
+}
+
+std::optional<plan_order> promotion_plan::wait_for_catch_up(const plan_view& view, steady_time now) {
     const plan_upstream* old_primary = find(view, view.m_record.m_primary);
-    if (view.m_record.m_planned && old_primary != nullptr && is_fresh(*old_primary, now) &&
-        old_primary->m_is_primary && now < view.m_record_seen_at + m_options.m_catch_up_timeout &&
-        choice.m_best->m_position < old_primary->m_position) {
-        return {.m_step = plan_step::request_status};
+    if (old_primary == nullptr || !old_primary->m_registered) {
+        return std::nullopt;
     }
-    return promote(view, choice.m_best->m_id, now);
+    const acknowledged_commits acknowledged = newest_acknowledged(view);
+    const plan_upstream* holds_acknowledged =
+        view.m_synchronous_replicas == 0 && acknowledged.m_is_final
+            ? find_follower(view, acknowledged.m_range.m_at_most, now - m_options.m_status_lifetime, now)
+            : nullptr;
+    if (holds_acknowledged != nullptr) {
+        return promote(view, holds_acknowledged->m_id, now);
+    }
+    const bool may_wait = now < *m_fenced_at + m_options.m_catch_up_timeout;
+    const plan_order wait{.m_step = plan_step::request_status, .m_at_once = true};
+    const bool has_reported = is_fresh(*old_primary, now) && *old_primary->m_status_at >= *m_fenced_at;
+    if (!has_reported) {
+        const bool may_answer = !old_primary->m_departed && !view.m_coordinator_cannot_reach_primary;
+        return may_answer && may_wait ? std::optional{wait} : std::nullopt;
+    }
+    if (!leads_term_of(view, *old_primary)) {
+        return std::nullopt;
+    }
+    if (const auto* follower = find_follower(view, old_primary->m_position, *m_fenced_at, now)) {
+        return promote(view, follower->m_id, now);
+    }
+    const bool may_serve =
+        !old_primary->m_departed && (!view.m_primary_serves_until || now < *view.m_primary_serves_until);
+    if (!may_wait && may_serve && !m_promotion_ordered_at &&
+        !may_be_superseded(view, view.m_record.m_primary)) {
+        m_next_planned_switch = now + m_options.m_planned_retry_delay;
+        return keep_primary(view);
+    }
+    return now < *m_fenced_at + report_wait(view) ? std::optional{wait} : std::nullopt;
 }
 
 plan_order promotion_plan::promote(const plan_view& view, const upstream_id& target, steady_time now) {
--- a/test/gateway/candidate_faults.cpp
+++ b/test/gateway/candidate_faults.cpp
@@ -46,6 +46,11 @@
     }
 
     test::fake_upstream& upstream(const std::string& id) { return m_fleet.m_upstreams.at(id); }
+
+    void leave_primary() {
+        upstream("orders-1").m_entry.m_leaving = true;
+        m_fleet.publish_registry();
+    }
 };
 
 }
@@ -76,6 +81,45 @@
     BOOST_TEST(!tested.upstream("orders-2").m_is_primary);
 }
 
+// Issue 63, case 12 of the review: the candidate was promoted after 1.5 s without what it had not received.
+BOOST_AUTO_TEST_CASE(a_planned_switch_does_not_promote_a_replica_that_is_behind) {
+    lagging_fleet tested;
+    tested.leave_primary();
+    tested.write_for(5000ms);
+    BOOST_TEST(tested.upstream("orders-3").m_is_primary);
+    BOOST_TEST(!tested.upstream("orders-2").m_is_primary);
+}
+
+// Writes stopped for a candidate that did not catch up, while the old primary served.
+BOOST_AUTO_TEST_CASE(writes_go_on_while_no_replica_can_replace_a_leaving_primary) {
+    lagging_fleet tested;
+    tested.m_fleet.m_upstreams.set_receiving("orders-3", false);
+    tested.write(3);
+    tested.leave_primary();
+    BOOST_TEST(tested.write_for(4000ms) >= 30);
+    BOOST_TEST(tested.m_fleet.m_upstreams.m_promotions == 0);
+    tested.m_fleet.m_upstreams.set_receiving("orders-2", true);
+    tested.write_for(2000ms);
+    BOOST_TEST(tested.upstream("orders-2").m_is_primary);
+}
+
+// The replica ceases to receive between the record and the promotion.
+BOOST_AUTO_TEST_CASE(a_planned_switch_whose_candidate_falls_behind_takes_another_or_goes_back) {
+    lagging_fleet tested;
+    tested.m_fleet.m_upstreams.set_receiving("orders-2", true);
+    tested.leave_primary();
+    tested.write_for(80ms);
+    for (const char* each : {"orders-2", "orders-3"}) {
+        tested.m_fleet.m_upstreams.set_receiving(each, false);
+    }
+    tested.write_for(3000ms);
+    const log_position held = tested.upstream("orders-1").m_position;
+    for (const char* each : {"orders-2", "orders-3"}) {
+        BOOST_TEST((!tested.upstream(each).m_is_primary || tested.upstream(each).m_position >= held));
+    }
+    BOOST_TEST(tested.write_for(1000ms) >= 5);
+}
+
 // A replica that is registered and does not answer holds the group for a bounded time.
 BOOST_AUTO_TEST_CASE(a_replica_that_never_reports_does_not_keep_the_group_without_a_primary) {
     lagging_fleet tested;
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -153,8 +153,15 @@
 BOOST_AUTO_TEST_CASE(a_leaving_primary_is_replaced_by_a_planned_switch) {
     plan_view view = healthy();
     view.m_upstreams[0].m_leaving = true;
-    const plan_order order = promotion_plan(options).next(view, start);
+    promotion_plan plan(options);
+    BOOST_TEST((plan.next(view, start).m_step == plan_step::request_status));
+    report_at(view, start + 40ms);
+    BOOST_TEST((plan.next(view, start + 40ms).m_step == plan_step::request_status));
+    view.m_upstreams[2].m_position = at(1, 100);
+    const plan_order order = plan.next(view, start + 40ms);
     BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::switching));
+    BOOST_TEST(order.m_record.m_candidate.m_text == "c");
     BOOST_TEST(order.m_record.m_planned);
 }
 
@@ -581,6 +588,83 @@
     BOOST_TEST(order.m_target.m_text == "b");
 }
 
+// Writes paused for a candidate that received nothing, while the old primary could serve.
+BOOST_AUTO_TEST_CASE(a_planned_switch_does_not_begin_with_a_candidate_that_is_behind) {
+    plan_view view = healthy();
+    view.m_upstreams[0].m_leaving = true;
+    view.m_primary_serves_until = start + 7s;
+    promotion_plan plan(options);
+    for (milliseconds time{0}; time < 7s; time += 40ms) {
+        report_at(view, start + time);
+        view.m_upstreams[0].m_position.m_offset += 4;
+        BOOST_TEST((plan.next(view, start + time).m_step == plan_step::request_status));
+    }
+    report_at(view, start + 7s);
+    const plan_order order = plan.next(view, start + 7s);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_planned);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_switch_takes_the_candidate_that_follows) {
+    plan_view view = healthy();
+    view.m_upstreams[0].m_leaving = true;
+    view.m_upstreams[2].m_position = at(1, 20);
+    promotion_plan plan(options);
+    BOOST_TEST((plan.next(view, start).m_step == plan_step::request_status));
+    view.m_upstreams[1].m_position = at(1, 100);
+    report_at(view, start + 40ms);
+    view.m_upstreams[0].m_position = at(1, 104);
+    const plan_order order = plan.next(view, start + 40ms);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_candidate.m_text == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_switch_returns_to_the_primary_if_no_candidate_catches_up) {
+    plan_view view = switching(true);
+    view.m_upstreams[0].m_leaving = true;
+    view.m_primary_serves_until = start + 7s;
+    promotion_plan plan(options);
+    BOOST_TEST((plan.next(view, start).m_step == plan_step::request_status));
+    const steady_time late = start + options.m_catch_up_timeout;
+    report_at(view, late);
+    const plan_order order = plan.next(view, late);
+    BOOST_REQUIRE((order.m_step == plan_step::write_record));
+    BOOST_TEST((order.m_record.m_stage == group_stage::steady));
+    BOOST_TEST(order.m_record.m_primary.m_text == "a");
+    // Another one begins later, with a candidate that follows.
+    adopt(view, order, late);
+    view.m_upstreams[2].m_position = at(1, 100);
+    BOOST_TEST((plan.next(view, late).m_step == plan_step::request_status));
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_switch_does_not_return_to_the_primary_while_a_promotion_may_take_effect) {
+    plan_view view = switching(true);
+    view.m_pending_orders = {{"c"}};
+    promotion_plan plan(options);
+    BOOST_TEST((plan.next(view, start).m_step == plan_step::request_status));
+    report_at(view, start + options.m_catch_up_timeout);
+    BOOST_TEST((plan.next(view, start + options.m_catch_up_timeout).m_step == plan_step::request_status));
+}
+
+/// The primary may not be used any more, but still has the commits that the candidates lack.
+BOOST_AUTO_TEST_CASE(a_planned_switch_out_of_time_waits_for_the_candidate_for_a_bounded_time) {
+    for (const int synchronous : {0, 1}) {
+        plan_view view = switching(true);
+        view.m_synchronous_replicas = synchronous;
+        view.m_upstreams[0].m_leaving = true;
+        view.m_primary_serves_until = start;
+        const milliseconds bound =
+            synchronous == 0 ? options.m_report_wait : options.m_synchronous_report_wait;
+        promotion_plan plan(options);
+        for (milliseconds time{0}; time < bound; time += 100ms) {
+            report_at(view, start + time);
+            BOOST_TEST((plan.next(view, start + time).m_step == plan_step::request_status));
+        }
+        report_at(view, start + bound);
+        BOOST_TEST((plan.next(view, start + bound).m_step == plan_step::promote));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_primary_that_comes_back_without_its_log_is_not_kept) {
     plan_view view = switching(false);
     view.m_upstreams[0].m_status_at = start;
