Count only members of the group for the majority of a new term

Cause: an attempt in flight goes on when the members change, and the positions of upstreams that had left since were counted for the majority and could name the one to promote. Change: failover::choose_candidate() passes over them. Result: the new case of correctness/failover fails without the change (a promotion is ordered) and holds with it. The rest of choose_candidate() was read: a majority that has moved to the new term shares an upstream with each acknowledged write, so that no further report is needed there.

--- a/libs/decisions/src/failover.cpp
+++ b/libs/decisions/src/failover.cpp
@@ -183,6 +183,11 @@
     std::vector<std::pair<log_position, upstream_id>> others;
     std::vector<std::pair<log_position, upstream_id>> all;
     for (const auto& [id, position] : m_raised_positions) {
+        // The members may have changed since the attempt began.
+        if (std::find(m_options.m_members.begin(), m_options.m_members.end(), id) ==
+            m_options.m_members.end()) {
+            continue;
+        }
         all.emplace_back(position, id);
         if (id != m_old_primary) {
             others.emplace_back(position, id);
--- a/test/correctness/failover.cpp
+++ b/test/correctness/failover.cpp
@@ -127,6 +127,20 @@
     BOOST_TEST(partitioned.m_failover.decide(partitioned.m_now, 7).front().m_upstream.m_text == "two");
 }
 
+// An upstream that is no member any more was counted for the majority, and could be promoted.
+BOOST_AUTO_TEST_CASE(an_upstream_that_left_the_group_during_the_attempt_is_neither_counted_nor_promoted) {
+    group tested;
+    tested.disconnect_replicas();
+    tested.m_silent = {one};
+    BOOST_REQUIRE(!tested.advance(milliseconds{300}).empty());
+    tested.m_failover.set_options({.m_members = {one, two, upstream_id{"four"}}});
+    tested.m_failover.on_term_raised(two, 2, {1, 10}, tested.m_now);
+    tested.m_failover.on_term_raised(three, 2, {1, 12}, tested.m_now);
+    for (const failover_order& order : tested.advance(milliseconds{350})) {
+        BOOST_TEST((order.m_kind != order_kind::promote));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(without_a_majority_the_term_is_not_raised) {
     group alone;
     alone.disconnect_replicas();
