Compare the members' processes at polls; count late reports of a new primary

Cause: the coordinator copied the list of processes for each group at each tick, some hundred thousand strings a second in a fleet of 295 instances with 20 groups. By reading: a new primary whose status reports take longer than 0.4 s was never announced. Change: the list is compared once a poll, for all groups. A report that says that an upstream leads a newer term counts when it arrives. Result: promotion_plan has a case for the late report (no record is written without the change). The cost was not measured before.

--- a/libs/decisions/include/anvilmount/decisions/candidate_choice.hpp
+++ b/libs/decisions/include/anvilmount/decisions/candidate_choice.hpp
@@ -7,7 +7,6 @@
 #pragma once
 
 #include "anvilmount/base/identifiers.hpp"
-
 #include "anvilmount/base/time.hpp"
 #include "anvilmount/decisions/acknowledged_range.hpp"
 
@@ -64,7 +63,8 @@
     bool m_is_complete{false};
 };
 
-[[nodiscard]] bool has_fresh_report(const plan_upstream& upstream, const choice_context& context);
+/// Returns whether a report of the upstream has arrived since then.
+[[nodiscard]] bool has_reported_since(const plan_upstream& upstream, steady_time since);
 
 /// Returns whether the upstream may replace the primary once it reports. The recorded primary may only
 /// if it says that it is a replica, in its last report or else in its registration. An upstream that leads
--- a/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
+++ b/libs/decisions/include/anvilmount/decisions/promotion_plan.hpp
@@ -63,7 +63,6 @@
     bool m_lost_records_written{true};
     /// Commits are acknowledged only once this many replicas hold them.
     int m_synchronous_replicas{0};
-
     /// While the primary is leaving: until when it may get new work; unset: without limit.
     std::optional<steady_time> m_primary_serves_until{};
 };
@@ -166,8 +165,8 @@
     /// The record written to change the candidate while m_fenced_at was set, which it leaves as it is.
     group_record m_fenced_record;
     std::optional<steady_time> m_switch_wanted_since; ///< A switch is due and not begun.
-    std::optional<steady_time>
-        m_primary_found_at; ///< A primary to record was found; others may not have reported.
+    /// Since when a primary is known that could be recorded if all upstreams had reported.
+    std::optional<steady_time> m_primary_found_at;
     /// What a candidate of a planned switch has to hold when it answers a later request.
     struct reference {
         log_position m_position{};
--- a/libs/decisions/src/candidate_choice.cpp
+++ b/libs/decisions/src/candidate_choice.cpp
@@ -15,8 +15,8 @@
 
 /// Returns whether a report of the upstream is missing that may still come.
 bool is_awaited(const plan_upstream& upstream, const choice_context& context) {
-    const bool has_answered =
-        has_fresh_report(upstream, context) && *upstream.m_status_at >= context.m_complete_since;
+    const bool has_answered = has_reported_since(upstream, context.m_fresh_since) &&
+                              *upstream.m_status_at >= context.m_complete_since;
     return !has_answered &&
            context.m_now < std::max(context.m_wait_from, last_answer(upstream)) + context.m_wait;
 }
@@ -28,8 +28,8 @@
 
 }
 
-bool has_fresh_report(const plan_upstream& upstream, const choice_context& context) {
-    return upstream.m_status_at && last_answer(upstream) >= context.m_fresh_since;
+bool has_reported_since(const plan_upstream& upstream, steady_time since) {
+    return upstream.m_status_at && last_answer(upstream) >= since;
 }
 
 bool is_candidate(const plan_upstream& upstream, const choice_context& context) {
@@ -41,7 +41,7 @@
                    ? !upstream.m_is_primary
                    : !upstream.m_registered_as_primary && !context.m_primary_refuses_connections;
     }
-    return !(has_fresh_report(upstream, context) && upstream.m_is_primary &&
+    return !(has_reported_since(upstream, context.m_fresh_since) && upstream.m_is_primary &&
              upstream.m_term == context.m_term);
 }
 
@@ -53,7 +53,7 @@
             continue;
         }
         is_any_awaited = is_any_awaited || is_awaited(each, context);
-        if (has_fresh_report(each, context) &&
+        if (has_reported_since(each, context.m_fresh_since) &&
             (choice.m_best == nullptr ||
              preference(each, preferred) > preference(*choice.m_best, preferred))) {
             choice.m_best = &each;
--- a/libs/decisions/src/promotion_plan.cpp
+++ b/libs/decisions/src/promotion_plan.cpp
@@ -85,7 +85,9 @@
 const plan_upstream* promotion_plan::find_new_primary(const plan_view& view, steady_time now) const {
     const plan_upstream* new_primary = nullptr;
     for (const plan_upstream& each : view.m_upstreams) {
-        if (is_fresh(each, now) && each.m_is_primary && each.m_term > view.m_record.m_term &&
+        // It led that term when it answered, however long that took.
+        if (has_reported_since(each, now - m_options.m_status_lifetime) && each.m_is_primary &&
+            each.m_term > view.m_record.m_term &&
             (new_primary == nullptr || each.m_term > new_primary->m_term)) {
             new_primary = &each;
         }
@@ -158,8 +160,8 @@
     const plan_upstream* found = nullptr;
     for (const plan_upstream& each : view.m_upstreams) {
         const bool follows = is_candidate(each, context) && !each.m_leaving &&
-                             has_fresh_report(each, context) && *each.m_status_at >= since &&
-                             each.m_position >= position;
+                             has_reported_since(each, context.m_fresh_since) &&
+                             *each.m_status_at >= since && each.m_position >= position;
         if (follows && (found == nullptr || each.m_id == view.m_record.m_candidate)) {
             found = &each;
         }
@@ -238,6 +240,7 @@
         }
     }
     if (primary == nullptr || !view.m_lost_records_written || may_be_superseded(view, primary->m_id)) {
+        m_primary_found_at.reset();
         return {.m_step = plan_step::request_status};
     }
     // An upstream that does not answer may lead a newer term.
--- a/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_coordinator.hpp
@@ -178,8 +178,7 @@
         steady_time m_epoch_observed_at{};
         /// Until then, the answer to an ordered write or promotion is awaited.
         steady_time m_in_flight_until{};
-        std::map<std::string, std::string> m_processes{}; ///< Incarnation of each instance, as last seen.
-        steady_time m_processes_unchanged_since{};
+
         upstream_id m_leaving_primary{}; ///< The recorded primary, while it is leaving.
         steady_time m_leaving_seen_at{}; ///< When m_leaving_primary was first seen to leave.
     };
@@ -231,7 +230,8 @@
     void coordinate_group(const group_name& name, group_service& group);
     [[nodiscard]] plan_view make_plan_view(const group_name& name, group_service& group,
                                            group_coordination& coordination);
-    void note_processes(group_coordination& coordination) const;
+    /// Notices at a poll whether a process has joined or left.
+    void note_processes();
     [[nodiscard]] std::vector<plan_instance>
     plan_members(const group_name& name, const group_record& record, const group_service& group);
     /// `at_once`: does not wait between a request that was answered and the next.
@@ -270,6 +270,8 @@
     steady_time m_account_homes_known_since{};
     account_homes_plan m_homes_plan;
     steady_time m_next_homes_plan{};
+    std::map<std::string, std::string> m_processes; ///< Incarnation of each instance, as last polled.
+    steady_time m_processes_unchanged_since{};
     /// Since when the members table has been polled without a long gap. Silence before that proves nothing.
     steady_time m_polled_steadily_since{};
     /// Per group, the version of the records table's row that was last adopted here.
--- a/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
+++ b/libs/gateway/include/anvilmount/gateway/fleet_membership.hpp
@@ -7,7 +7,6 @@
 
 #include "anvilmount/base/endpoint.hpp"
 #include "anvilmount/base/identifiers.hpp"
-
 #include "anvilmount/decisions/account_homes.hpp"
 #include "anvilmount/decisions/acknowledged_range.hpp"
 #include "anvilmount/decisions/group_record.hpp"
--- a/libs/gateway/src/fleet_coordinator.cpp
+++ b/libs/gateway/src/fleet_coordinator.cpp
@@ -530,6 +530,7 @@
         // The instances that were registered before are known; the startup polls are not needed.
         m_next_poll = requested_at + intervals().m_poll_interval;
     }
+    note_processes();
     adopt_coordinator_row();
     check_own_row();
     m_records_head = std::max(m_records_head, m_directory.records_head());
@@ -972,14 +973,14 @@
     return members;
 }
 
-void fleet_coordinator::note_processes(group_coordination& coordination) const {
+void fleet_coordinator::note_processes() {
     std::map<std::string, std::string> processes;
     for (const auto& [key, each] : m_directory.members()) {
         processes[each.m_record.m_name] = each.m_record.m_incarnation;
     }
-    if (processes != coordination.m_processes) {
-        coordination.m_processes = std::move(processes);
-        coordination.m_processes_unchanged_since = m_ports.m_clock->m_now();
+    if (processes != m_processes) {
+        m_processes = std::move(processes);
+        m_processes_unchanged_since = m_ports.m_clock->m_now();
     }
 }
 
@@ -1008,10 +1009,8 @@
     view.m_pending_orders = m_orders[name].pending(now);
     view.m_knows_all_orders = knows_all_orders();
     view.m_instances = plan_members(name, view.m_record, group);
-    note_processes(coordination);
-    view.m_instances_unchanged_since = coordination.m_processes_unchanged_since;
+    view.m_instances_unchanged_since = m_processes_unchanged_since;
     view.m_synchronous_replicas = group.options().m_synchronous_replicas;
-
     if (primary != group.pools().end()) {
         view.m_primary_serves_until = primary_serves_until(primary->second->entry(), group, coordination);
     }
--- a/test/gateway/promotion_plan.cpp
+++ b/test/gateway/promotion_plan.cpp
@@ -310,6 +310,17 @@
     BOOST_TEST(order.m_record.m_term == 2U);
 }
 
+// An overloaded upstream that answered later than reports are kept was never announced.
+BOOST_AUTO_TEST_CASE(a_new_primary_that_answers_late_is_announced) {
+    plan_view view = switching(false);
+    view.m_upstreams[2].m_is_primary = true;
+    view.m_upstreams[2].m_term = 2;
+    view.m_upstreams[2].m_answered_at = start + 600ms;
+    const plan_order order = promotion_plan(options).next(view, start + 600ms);
+    BOOST_TEST((order.m_step == plan_step::write_record));
+    BOOST_TEST(order.m_record.m_primary.m_text == "c");
+}
+
 BOOST_AUTO_TEST_CASE(a_new_primary_is_not_announced_while_the_old_one_serves) {
     plan_view view = switching(false);
     view.m_instances[1].m_has_acknowledged = false;
